--- /dev/null
+++ b/build.rs
@@ -0,0 +1,12 @@
+//! Compiles the operators' schema into a descriptor set that the daemon embeds.
+use std::{env, fs, path::PathBuf};
+
+use prost::Message;
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    println!("cargo:rerun-if-changed=deploy/operator.proto");
+    let set = protox::compile(["operator.proto"], ["deploy"])?;
+    let out = PathBuf::from(env::var("OUT_DIR")?).join("operator.bin");
+    fs::write(out, set.encode_to_vec())?;
+    Ok(())
+}
--- /dev/null
+++ b/src/bookkeeping/barrier.rs
@@ -0,0 +1,85 @@
+//! The read barrier: an answer about a job may be given only after a read of
+//! the changes that was *sent* after the question came. One read serves all
+//! who were waiting when it was sent.
+
+#[derive(Debug)]
+pub struct Barrier<W> {
+    waiting: Vec<(u64, W)>,
+    flying: Vec<(u64, W)>,
+    in_flight: bool,
+    not_before: u64,
+}
+
+impl<W> Default for Barrier<W> {
+    fn default() -> Self {
+        Barrier { waiting: Vec::new(), flying: Vec::new(), in_flight: false, not_before: 0 }
+    }
+}
+
+impl<W> Barrier<W> {
+    pub fn join(&mut self, now: u64, who: W) {
+        self.waiting.push((now, who));
+    }
+
+    pub fn len(&self) -> usize {
+        self.waiting.len() + self.flying.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// True when a read should be sent now; the caller must then say how it ended.
+    pub fn due(&self, now: u64) -> bool {
+        !self.in_flight && !self.waiting.is_empty() && now >= self.not_before
+    }
+
+    pub fn sent(&mut self, now: u64, gap_ms: u64) {
+        self.in_flight = true;
+        self.not_before = now + gap_ms;
+        self.flying = std::mem::take(&mut self.waiting);
+    }
+
+    /// The read ended; whoever it carried may be answered (or told 503).
+    pub fn ended(&mut self) -> Vec<W> {
+        self.in_flight = false;
+        std::mem::take(&mut self.flying).into_iter().map(|(_, w)| w).collect()
+    }
+
+    /// Those who have waited longer than they will listen.
+    pub fn overdue(&mut self, now: u64, max_ms: u64) -> Vec<W> {
+        let mut out = Vec::new();
+        for list in [&mut self.waiting, &mut self.flying] {
+            for (at, w) in std::mem::take(list) {
+                if now.saturating_sub(at) > max_ms {
+                    out.push(w);
+                } else {
+                    list.push((at, w));
+                }
+            }
+        }
+        out
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_read_serves_only_those_who_came_before_it() {
+        let mut b = Barrier::default();
+        b.join(0, "a");
+        assert!(b.due(0));
+        b.sent(0, 50);
+        // Guard: "b" came after the read was sent, so its answer could be too old.
+        b.join(1, "b");
+        assert!(!b.due(60), "one read at a time");
+        assert_eq!(b.ended(), vec!["a"]);
+        assert!(!b.due(40), "gap kept");
+        assert!(b.due(50));
+        b.sent(50, 50);
+        assert_eq!(b.overdue(2_000, 1_500), vec!["b"]);
+        assert_eq!(b.ended(), Vec::<&str>::new());
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/budget.rs
@@ -0,0 +1,109 @@
+//! One budget per outside service. Who asks for more than there is hears so
+//! at once; nothing is queued here.
+
+/// More urgent work may use the part of the budget that less urgent work must leave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Urgency {
+    /// Leases: never refused, the debt is borne by the rest.
+    Lease,
+    /// Cancels and ends of jobs.
+    Cancel,
+    /// Placements.
+    Commit,
+    /// Submissions and everything else.
+    Submit,
+}
+
+impl Urgency {
+    /// Share of the burst that must be left after taking.
+    fn floor(self) -> f64 {
+        match self {
+            Urgency::Lease => f64::NEG_INFINITY,
+            Urgency::Cancel => 0.0,
+            Urgency::Commit => 0.1,
+            Urgency::Submit => 0.2,
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+pub struct Budget {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: u64,
+}
+
+impl Budget {
+    pub fn new(rate: f64, burst: f64) -> Budget {
+        Budget { rate, burst, level: burst, at: 0 }
+    }
+
+    /// Changes the rate, as when this controller begins or ceases to lead.
+    pub fn set(&mut self, rate: f64, burst: f64) {
+        self.rate = rate;
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+
+    fn fill(&mut self, now: u64) {
+        let ms = now.saturating_sub(self.at);
+        self.at = self.at.max(now);
+        self.level = (self.level + self.rate * ms as f64 / 1000.0).min(self.burst);
+    }
+
+    /// Takes `n`, or says after how many milliseconds to come back.
+    pub fn take(&mut self, now: u64, n: f64, urgency: Urgency) -> Result<(), u64> {
+        self.fill(now);
+        let floor = urgency.floor() * self.burst;
+        // What asks for more than the bucket holds gets it from a full one.
+        let need = (n + floor.max(0.0)).min(self.burst);
+        if urgency == Urgency::Lease || self.level >= need {
+            self.level -= n;
+            return Ok(());
+        }
+        Err((((need - self.level) / self.rate) * 1000.0).ceil() as u64)
+    }
+
+    /// What may be taken now.
+    pub fn available(&mut self, now: u64, urgency: Urgency) -> f64 {
+        self.fill(now);
+        (self.level - urgency.floor().max(0.0) * self.burst).max(0.0)
+    }
+
+    /// The service itself said 429: others use it too.
+    pub fn refused(&mut self, now: u64) {
+        self.fill(now);
+        self.level = self.level.min(0.0);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn budget_table() {
+        // (at ms, amount, urgency, allowed)
+        let cases = [
+            (0, 8.0, Urgency::Submit, true),
+            (0, 1.0, Urgency::Submit, false), // 2 left, Submit must leave 2
+            (0, 1.0, Urgency::Commit, true),
+            (0, 1.0, Urgency::Commit, false),
+            (0, 1.0, Urgency::Cancel, true),
+            (0, 1.0, Urgency::Cancel, false),
+            (0, 1.0, Urgency::Lease, true), // into debt
+            (100, 1.0, Urgency::Cancel, false),
+            (200, 1.0, Urgency::Cancel, true),
+            (100_000, 50.0, Urgency::Commit, true), // more than the bucket: from a full one
+            (100_000, 1.0, Urgency::Cancel, false),
+        ];
+        let mut b = Budget::new(10.0, 10.0);
+        for (i, (at, n, u, want)) in cases.into_iter().enumerate() {
+            assert_eq!(b.take(at, n, u).is_ok(), want, "case {i}");
+        }
+        let mut b = Budget::new(10.0, 10.0);
+        b.refused(0);
+        assert_eq!(b.take(0, 1.0, Urgency::Cancel), Err(100));
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/mod.rs
@@ -0,0 +1,7 @@
+//! What outlives a process: records in the state service, the mirror of them,
+//! the read barrier, and the budgets that outside services are asked within.
+
+pub mod barrier;
+pub mod budget;
+pub mod mirror;
+pub mod records;
--- /dev/null
+++ b/src/bookkeeping/records.rs
@@ -0,0 +1,170 @@
+//! Keys and values in the state service.
+//!
+//! `leader`: who leads, attached to its grant. `j/ID`: a job's record: its
+//! submission and status. `t/ID/CHUNK`: where a part of its tasks may be.
+
+use std::fmt::Write as _;
+
+use ciborium::Value;
+use serde::{Deserialize, Serialize};
+
+use crate::protocol::jobs::Submission;
+
+pub const LEADER: &str = "leader";
+pub const JOBS: &str = "j/";
+pub const TASKS: &str = "t/";
+
+pub fn job_key(id: &str) -> String {
+    format!("{JOBS}{id}")
+}
+
+pub fn chunk_key(id: &str, chunk: u32) -> String {
+    format!("{TASKS}{id}/{chunk:06}")
+}
+
+pub fn split_chunk_key(key: &str) -> Option<(&str, u32)> {
+    let (id, n) = key.strip_prefix(TASKS)?.rsplit_once('/')?;
+    Some((id, n.parse().ok()?))
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Status {
+    #[serde(rename = "p")]
+    Pending,
+    #[serde(rename = "c")]
+    Cancelled,
+    #[serde(rename = "d")]
+    Done,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    #[serde(rename = "s")]
+    pub submission: Submission,
+    #[serde(rename = "st")]
+    pub status: Status,
+    /// Time of day at acceptance, in ms.
+    #[serde(rename = "at")]
+    pub at_ms: u64,
+    /// Tasks per chunk record.
+    #[serde(rename = "ch")]
+    pub chunk: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    #[serde(rename = "l")]
+    pub label: String,
+    #[serde(rename = "n")]
+    pub nonce: u64,
+}
+
+/// Where one task may be.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlaceRecord(
+    /// Task number.
+    pub u32,
+    /// Machine.
+    pub String,
+    /// The worker's session.
+    pub u64,
+    /// Attempt.
+    pub u64,
+    /// Zone.
+    pub String,
+);
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
+pub struct ChunkRecord {
+    /// Done tasks, four to a hex digit, first task lowest bit of the first digit.
+    #[serde(rename = "d")]
+    pub done: String,
+    #[serde(rename = "p")]
+    pub places: Vec<PlaceRecord>,
+    /// Who wrote it, to tell one's own late write.
+    #[serde(rename = "w")]
+    pub tag: u64,
+}
+
+/// Tasks per chunk, so that a full one stays well below the limit of a value.
+pub fn chunk_size(value_kb: f64) -> u32 {
+    // A place takes up to about 100 bytes in JSON form.
+    ((value_kb * 1024.0 / 128.0) as u32).clamp(4, 256) / 4 * 4
+}
+
+pub fn pack_done(done: impl Iterator<Item = bool>) -> String {
+    let mut out = String::new();
+    let mut nibble = 0u8;
+    let mut n = 0;
+    for d in done {
+        nibble |= u8::from(d) << (n % 4);
+        n += 1;
+        if n % 4 == 0 {
+            let _ = write!(out, "{nibble:x}");
+            nibble = 0;
+        }
+    }
+    if n % 4 != 0 {
+        let _ = write!(out, "{nibble:x}");
+    }
+    out
+}
+
+pub fn is_done(packed: &str, n: usize) -> bool {
+    packed
+        .as_bytes()
+        .get(n / 4)
+        .and_then(|&b| char::from(b).to_digit(16))
+        .is_some_and(|d| d >> (n % 4) & 1 == 1)
+}
+
+pub fn to_value<T: Serialize>(v: &T) -> Value {
+    Value::serialized(v).unwrap_or(Value::Null)
+}
+
+/// Size of a value as the service counts it, in JSON form, rounded up.
+pub fn json_size(v: &Value) -> usize {
+    match v {
+        Value::Null | Value::Bool(_) => 5,
+        Value::Integer(_) | Value::Float(_) => 20,
+        Value::Text(s) => s.len() + s.bytes().filter(|b| *b < 0x20 || matches!(b, b'"' | b'\\')).count() * 5 + 2,
+        Value::Array(l) => 2 + l.iter().map(|x| json_size(x) + 1).sum::<usize>(),
+        Value::Map(m) => 2 + m.iter().map(|(k, x)| json_size(k) + json_size(x) + 2).sum::<usize>(),
+        _ => 32,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn done_bits_and_chunks_survive() {
+        for n in [1usize, 3, 4, 5, 64, 127] {
+            let bits: Vec<bool> = (0..n).map(|i| i % 3 == 0).collect();
+            let packed = pack_done(bits.iter().copied());
+            for (i, b) in bits.iter().enumerate() {
+                assert_eq!(is_done(&packed, i), *b, "{i} of {n}");
+            }
+            assert!(!is_done(&packed, n + 8));
+        }
+        assert_eq!(split_chunk_key(&chunk_key("j-000412", 7)), Some(("j-000412", 7)));
+        assert_eq!(split_chunk_key("t/x"), None);
+    }
+
+    #[test]
+    fn a_full_chunk_fits_the_limit_of_a_value() {
+        for kb in [1.0, 8.0, 16.0, 64.0] {
+            let size = chunk_size(kb);
+            let rec = ChunkRecord {
+                done: pack_done((0..size).map(|_| true)),
+                places: (0..size)
+                    .map(|i| PlaceRecord(99_000 + i, "i-0000000231".into(), 1 << 20, u64::MAX, "some-zone-1".into()))
+                    .collect(),
+                tag: u64::MAX,
+            };
+            let bytes = json_size(&to_value(&rec));
+            assert!(bytes <= (kb * 1024.0) as usize, "{size} tasks take {bytes} bytes of {kb} KiB");
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/election.rs
@@ -0,0 +1,296 @@
+//! Leadership: one key under a grant of the state service.
+//!
+//! This controller leads while the key names it (label *and* this start's
+//! nonce) and its grant is provably alive. The grant's end is counted on the
+//! steady clock from when the renewal was *sent*, less drift: the service
+//! counts from a later moment, so it can't have given the grant up before.
+
+use crate::bookkeeping::records::LeaderRecord;
+
+/// Two steady clocks may part by twice this share; the lease is cut by more.
+const DRIFT: f64 = 0.002;
+const MARGIN_MS: u64 = 40;
+const STEP_ASIDE_MS: u64 = 20_000;
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Act {
+    /// POST /grants
+    Grant,
+    /// POST /grants/{}/renew
+    Renew(u64),
+    /// Write the key under the grant, if its stamp is as expected.
+    Claim { permit: u64, expect: u64 },
+    /// DELETE /grants/{}
+    Resign(u64),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Flight {
+    None,
+    Grant { sent: u64 },
+    Renew { sent: u64 },
+    Claim,
+}
+
+#[derive(Debug)]
+pub struct Election {
+    label: String,
+    nonce: u64,
+    ttl_ms: u64,
+    /// The key as last seen: who and its stamp. None: not read yet.
+    key: Option<(Option<LeaderRecord>, u64)>,
+    permit: Option<u64>,
+    /// The grant is alive at least until then.
+    valid_until: u64,
+    last_renewal: u64,
+    flight: Flight,
+    retry_at: u64,
+    aside_until: u64,
+}
+
+impl Election {
+    pub fn new(label: &str, nonce: u64, ttl_ms: u64) -> Election {
+        Election {
+            label: label.to_owned(),
+            nonce,
+            ttl_ms,
+            key: None,
+            permit: None,
+            valid_until: 0,
+            last_renewal: 0,
+            flight: Flight::None,
+            retry_at: 0,
+            aside_until: 0,
+        }
+    }
+
+    pub fn ttl_ms(&self) -> u64 {
+        self.ttl_ms
+    }
+
+    fn mine(&self) -> Option<u64> {
+        match &self.key {
+            Some((Some(r), stamp)) if r.label == self.label && r.nonce == self.nonce => Some(*stamp),
+            _ => None,
+        }
+    }
+
+    /// Stamp of this controller's leadership, if it may act at this moment.
+    pub fn leading(&self, now: u64) -> Option<u64> {
+        if now < self.valid_until && self.permit.is_some() {
+            self.mine()
+        } else {
+            None
+        }
+    }
+
+    /// Stamp of this controller's leadership, even if it may not act just now.
+    pub fn holds_key(&self) -> Option<u64> {
+        self.mine()
+    }
+
+    pub fn leader(&self) -> Option<&str> {
+        match &self.key {
+            Some((Some(r), _)) => Some(&r.label),
+            _ => None,
+        }
+    }
+
+    /// The key was seen at `stamp` (of its record, or of its removal).
+    pub fn saw_key(&mut self, now: u64, record: Option<LeaderRecord>, stamp: u64) {
+        if self.key.as_ref().is_some_and(|(_, old)| *old > stamp) {
+            return;
+        }
+        let gone = record.is_none();
+        self.key = Some((record, stamp));
+        if gone {
+            self.retry_at = self.retry_at.min(now);
+        }
+    }
+
+    pub fn tick(&mut self, now: u64) -> Option<Act> {
+        if self.flight != Flight::None {
+            return None;
+        }
+        if self.mine().is_some() {
+            if let Some(p) = self.permit {
+                // A quarter of the time: three tries before it runs out.
+                if now >= self.last_renewal + self.ttl_ms / 4 && now >= self.retry_at {
+                    self.last_renewal = now;
+                    self.flight = Flight::Renew { sent: now };
+                    return Some(Act::Renew(p));
+                }
+            }
+            return None;
+        }
+        if now < self.retry_at || now < self.aside_until {
+            return None;
+        }
+        let expect = match &self.key {
+            None => return None,
+            Some((None, _)) => 0,
+            // One's own dead start may be replaced at once.
+            Some((Some(r), stamp)) if r.label == self.label => *stamp,
+            Some(_) => return None,
+        };
+        match self.permit {
+            Some(p) if now + self.ttl_ms / 2 < self.valid_until => {
+                self.flight = Flight::Claim;
+                Some(Act::Claim { permit: p, expect })
+            }
+            _ => {
+                self.permit = None;
+                self.flight = Flight::Grant { sent: now };
+                Some(Act::Grant)
+            }
+        }
+    }
+
+    fn alive_until(&self, sent: u64) -> u64 {
+        let ms = self.ttl_ms as f64 * (1.0 - DRIFT);
+        (sent + ms as u64).saturating_sub(MARGIN_MS)
+    }
+
+    pub fn granted(&mut self, now: u64, permit: Option<u64>) {
+        if let Flight::Grant { sent } = self.flight {
+            self.flight = Flight::None;
+            match permit {
+                Some(p) => {
+                    self.permit = Some(p);
+                    self.valid_until = self.alive_until(sent);
+                    self.last_renewal = sent;
+                }
+                None => self.retry_at = now + 300,
+            }
+        }
+    }
+
+    /// `Some(true)`: renewed; `Some(false)`: the grant has ended; None: unknown.
+    pub fn renewed(&mut self, now: u64, result: Option<bool>) {
+        let Flight::Renew { sent } = self.flight else { return };
+        self.flight = Flight::None;
+        match result {
+            Some(true) => self.valid_until = self.valid_until.max(self.alive_until(sent)),
+            Some(false) => {
+                self.permit = None;
+                self.valid_until = 0;
+                // The key goes with the grant; the watch will tell.
+                self.key = self.key.take().map(|(_, stamp)| (None, stamp));
+            }
+            None => {
+                self.last_renewal = 0;
+                self.retry_at = now + 250;
+            }
+        }
+    }
+
+    /// `Some(stamp)`: the key is ours at that stamp. None: lost or unknown;
+    /// the watch tells which.
+    pub fn claimed(&mut self, now: u64, stamp: Option<u64>) {
+        if self.flight != Flight::Claim {
+            return;
+        }
+        self.flight = Flight::None;
+        match stamp {
+            Some(s) => {
+                let r = LeaderRecord { label: self.label.clone(), nonce: self.nonce };
+                self.saw_key(now, Some(r), s);
+            }
+            None => self.retry_at = now + 300,
+        }
+    }
+
+    /// The service says that the grant used for a write has ended.
+    pub fn permit_lost(&mut self) {
+        self.permit = None;
+        self.valid_until = 0;
+    }
+
+    /// Gives way: no worker reaches this controller, others they do.
+    pub fn resign(&mut self, now: u64) -> Option<Act> {
+        self.aside_until = now + STEP_ASIDE_MS;
+        self.valid_until = 0;
+        self.key = self.key.take().map(|(_, stamp)| (None, stamp));
+        self.flight = Flight::None;
+        self.permit.take().map(Act::Resign)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TTL: u64 = 4_000;
+
+    fn other(n: u64) -> LeaderRecord {
+        LeaderRecord { label: "b".into(), nonce: n }
+    }
+
+    fn lead(e: &mut Election) {
+        e.saw_key(0, None, 1);
+        assert_eq!(e.tick(0), Some(Act::Grant));
+        e.granted(10, Some(7));
+        assert_eq!(e.tick(10), Some(Act::Claim { permit: 7, expect: 0 }));
+        e.claimed(20, Some(5));
+    }
+
+    #[test]
+    fn the_lease_is_counted_from_when_it_was_sent() {
+        let mut e = Election::new("a", 1, TTL);
+        lead(&mut e);
+        assert_eq!(e.leading(20), Some(5));
+        // Guard: counted from the grant's sending (0), less drift and margin.
+        assert_eq!(e.leading(TTL - 40), None);
+        assert_eq!(e.tick(1_000), Some(Act::Renew(7)));
+        e.renewed(3_900, Some(true));
+        assert_eq!(e.leading(4_500), Some(5));
+        assert_eq!(e.leading(5_000), None, "sent at 1000, not answered at 3900");
+        // An outage: the key is still ours, we just may not act.
+        assert_eq!(e.holds_key(), Some(5));
+        assert_eq!(e.tick(5_000), Some(Act::Renew(7)));
+        e.renewed(5_010, None);
+        assert_eq!(e.tick(5_100), None);
+        assert_eq!(e.tick(5_260), Some(Act::Renew(7)));
+        e.renewed(5_270, Some(true));
+        assert_eq!(e.leading(5_270), Some(5));
+        assert_eq!(e.tick(6_260), Some(Act::Renew(7)));
+        e.renewed(6_270, Some(false));
+        assert_eq!((e.leading(6_270), e.holds_key()), (None, None));
+    }
+
+    #[test]
+    fn who_may_stand() {
+        // (key seen, expected act)
+        let dead = LeaderRecord { label: "a".into(), nonce: 99 };
+        let cases = [
+            (None, false),
+            (Some((None, 3)), true),
+            (Some((Some(other(1)), 3)), false),
+            (Some((Some(dead.clone()), 3)), true),
+        ];
+        for (key, stands) in cases {
+            let mut e = Election::new("a", 1, TTL);
+            if let Some((r, s)) = key.clone() {
+                e.saw_key(0, r, s);
+            }
+            assert_eq!(e.tick(0), stands.then_some(Act::Grant), "{key:?}");
+        }
+        // One's own dead start is replaced conditionally on its stamp.
+        let mut e = Election::new("a", 1, TTL);
+        e.saw_key(0, Some(dead), 3);
+        e.tick(0);
+        e.granted(1, Some(8));
+        assert_eq!(e.tick(1), Some(Act::Claim { permit: 8, expect: 3 }));
+        // A claim with no answer that was applied late still counts, by the watch.
+        e.claimed(5, None);
+        assert_eq!(e.leading(6), None);
+        e.saw_key(50, Some(LeaderRecord { label: "a".into(), nonce: 1 }), 9);
+        assert_eq!(e.leading(51), Some(9));
+        // An older sight of the key changes nothing.
+        e.saw_key(60, Some(other(1)), 4);
+        assert_eq!(e.leading(61), Some(9));
+        assert_eq!(e.resign(70), Some(Act::Resign(8)));
+        e.saw_key(80, None, 12);
+        assert_eq!((e.leading(80), e.tick(80)), (None, None), "stands aside for a while");
+    }
+}
--- /dev/null
+++ b/src/coordination/fleet.rs
@@ -0,0 +1,437 @@
+//! The fleet: what is rented for work that waits, and what is handed back.
+
+use std::collections::HashMap;
+
+use super::{
+    leader::{Effect, Leader},
+    model::*,
+};
+use crate::{
+    bookkeeping::mirror::JobIx,
+    protocol::{
+        cloud::{HostList, HostState, RentRequest},
+        jobs::JobSpec,
+        names::{Tables, TypeIx, ZoneIx},
+    },
+};
+
+const THINK_MS: Ms = 400;
+const LIST_MS: Ms = 2_500;
+const RETURN_MS: Ms = 400;
+const REFUSED_MS: Ms = 6_000;
+const REFUSED_MAX_MS: Ms = 25_000;
+const RENTS_A_STEP: usize = 3;
+
+type Offer = (TypeIx, ZoneIx, bool);
+
+#[derive(Debug)]
+enum Call {
+    Rent { offer: Offer, req: RentRequest },
+    Return(Vec<MachineIx>),
+    List,
+}
+
+#[derive(Debug)]
+pub struct Fleet {
+    nonce: u64,
+    asks: u64,
+    calls: HashMap<u64, Call>,
+    /// Rent requests that went unanswered: the same again until it is known.
+    again: Vec<(Offer, RentRequest, Ms)>,
+    refused: HashMap<Offer, (Ms, Ms)>,
+    pub unmet: Vec<(JobIx, u32)>,
+    next_list: Ms,
+    next_think: Ms,
+    next_return: Ms,
+    pub listed_once: bool,
+}
+
+#[derive(Debug)]
+pub enum RentOutcome {
+    Rented(Vec<String>),
+    NoCapacity,
+    /// Not executed, or not known: the same request again.
+    Again,
+    Malformed,
+}
+
+impl Fleet {
+    pub fn new(nonce: u64, now: Ms) -> Fleet {
+        Fleet {
+            nonce,
+            asks: 0,
+            calls: HashMap::new(),
+            again: Vec::new(),
+            refused: HashMap::new(),
+            unmet: Vec::new(),
+            next_list: now,
+            next_think: now,
+            next_return: now,
+            listed_once: false,
+        }
+    }
+
+    /// Request names carry this leadership's random number: never used twice,
+    /// by no controller.
+    fn ask(&mut self) -> String {
+        self.asks += 1;
+        format!("r-{:016x}-{}", self.nonce, self.asks)
+    }
+}
+
+/// A machine that is not up yet, as far as its room goes.
+struct Coming {
+    offer: Offer,
+    free: Res,
+}
+
+impl Leader {
+    pub fn fleet_step(&mut self, now: Ms, tables: &Tables) {
+        if now >= self.fleet.next_list && !self.fleet.calls.values().any(|c| matches!(c, Call::List)) {
+            self.fleet.next_list = now + LIST_MS;
+            self.list(None);
+        }
+        if now >= self.fleet.next_return {
+            self.fleet.next_return = now + RETURN_MS;
+            self.hand_back(now);
+        }
+        if now >= self.fleet.next_think {
+            self.fleet.next_think = now + THINK_MS;
+            self.rent(now, tables);
+        }
+    }
+
+    fn list(&mut self, from: Option<String>) {
+        let call = self.call_id();
+        self.fleet.calls.insert(call, Call::List);
+        self.effects.push(Effect::List { call, from });
+    }
+
+    // ---- handing back --------------------------------------------------
+
+    fn hand_back(&mut self, now: Ms) {
+        let up = self.machines.iter().filter(|m| m.life == Life::Up && !m.places.is_empty()).count();
+        let silent = |m: &Machine| m.heard.is_none_or(|h| now > h + self.cfg.silent_ms);
+        let fresh = |m: &Machine| m.heard.is_some_and(|h| now < h + 2 * self.cfg.report_ms);
+        let quiet = self.machines.iter().filter(|m| m.life == Life::Up && silent(m)).count();
+        let talking = self.machines.iter().filter(|m| m.life == Life::Up && fresh(m)).count();
+        // Many silent at once speak of a cut, not of dead machines; theirs may
+        // well be running behind it.
+        let few = quiet <= 1 + talking / 4 && now > self.started + 2 * self.cfg.silent_ms;
+        let mut ids = Vec::new();
+        for (n, m) in self.machines.iter().enumerate() {
+            if ids.len() >= 50 || now < m.return_after {
+                continue;
+            }
+            let why = match m.life {
+                Life::Gone => continue,
+                Life::Returning => "asked before",
+                Life::Booting => {
+                    let boot = self.type_of(m).map_or(60.0, |t| t.boot_s);
+                    let most = (boot * 3.0 + 15.0) * 1000.0;
+                    let after = m.rented.max(self.started);
+                    if m.places.is_empty() && (now - after) as f64 > most {
+                        "never came up"
+                    } else {
+                        continue;
+                    }
+                }
+                Life::Up if silent(m) && few => "silent",
+                Life::Up if m.places.is_empty() && m.retire => "retired",
+                Life::Up if m.places.is_empty() && self.idle_long(now, m) => "idle",
+                Life::Up => continue,
+            };
+            ids.push((MachineIx(n as u32), why));
+        }
+        let _ = up;
+        if ids.is_empty() {
+            return;
+        }
+        for &(ix, why) in &ids {
+            let m = &mut self.machines[ix.at()];
+            if m.life != Life::Returning {
+                tracing::info!(machine = &*m.id, why, tasks = m.places.len(), "handing back");
+            }
+            m.life = Life::Returning;
+            m.return_after = now + 2_500;
+        }
+        let call = self.call_id();
+        let names = ids.iter().map(|(ix, _)| self.machine(*ix).id.clone()).collect();
+        self.fleet.calls.insert(call, Call::Return(ids.into_iter().map(|(ix, _)| ix).collect()));
+        self.effects.push(Effect::Return { call, ids: names });
+    }
+
+    fn idle_long(&self, now: Ms, m: &Machine) -> bool {
+        m.idle_since.is_some_and(|s| now > s + self.cfg.idle_keep_ms)
+    }
+
+    /// Notes since when machines have had nothing to do.
+    pub fn note_idle(&mut self, now: Ms) {
+        for m in &mut self.machines {
+            if m.life == Life::Up {
+                if m.places.is_empty() {
+                    m.idle_since.get_or_insert(now);
+                } else {
+                    m.idle_since = None;
+                }
+            }
+        }
+    }
+
+    /// A 200 to a return: the machines and everything on them are gone.
+    pub fn returned(&mut self, now: Ms, call: u64, ok: bool) {
+        let Some(Call::Return(list)) = self.fleet.calls.remove(&call) else { return };
+        for ix in list {
+            if ok {
+                self.free_machine(ix, None);
+                let m = &mut self.machines[ix.at()];
+                m.life = Life::Gone;
+                m.call = None;
+            } else {
+                self.machines[ix.at()].return_after = now + 1_000;
+            }
+        }
+        self.dirty = true;
+    }
+
+    // ---- the list ------------------------------------------------------
+
+    pub fn listed(&mut self, now: Ms, call: u64, list: Option<&HostList>, tables: &mut Tables) {
+        self.fleet.calls.remove(&call);
+        let Some(list) = list else { return };
+        self.fleet.listed_once = true;
+        for h in &list.hosts {
+            let zone = tables.zones.intern(&h.zone);
+            let known = self.machine_ix.contains_key(&h.id);
+            let ix = self.machine_named(now, &h.id, zone);
+            let age = (h.age_s.clamp(0.0, 1e9) * 1000.0) as Ms;
+            let m = &mut self.machines[ix.at()];
+            if m.life == Life::Gone {
+                continue; // lists lag
+            }
+            m.zone = zone;
+            m.listed = true;
+            m.ty = m.ty.or(Some(tables.types.intern(&h.machine_type)));
+            m.spot = h.spot;
+            if let Some(a) = &h.addr {
+                m.addr = m.addr.or(a.parse().ok());
+            }
+            if !known {
+                m.rented = now.saturating_sub(age);
+                tracing::info!(machine = &*m.id, state = ?h.state, "adopted from the list");
+            }
+            if h.state == HostState::Failed && m.life != Life::Returning {
+                tracing::info!(machine = &*m.id, "failed");
+                m.life = Life::Returning;
+                m.return_after = now;
+            }
+        }
+        if list.truncated {
+            if let Some(last) = list.hosts.last() {
+                self.list(Some(last.id.clone()));
+            }
+        }
+    }
+
+    // ---- renting -------------------------------------------------------
+
+    fn rent(&mut self, now: Ms, tables: &Tables) {
+        let again: Vec<_> = std::mem::take(&mut self.fleet.again);
+        for (offer, req, at) in again {
+            if now >= at {
+                self.send_rent(offer, req);
+            } else {
+                self.fleet.again.push((offer, req, at));
+            }
+        }
+        // Without a list, what is already there isn't known.
+        if !self.fleet.listed_once || now < self.started + 1_500 {
+            return;
+        }
+        let mut coming = self.coming(now);
+        let mut total = self.machines.iter().filter(|m| !matches!(m.life, Life::Gone | Life::Returning)).count()
+            + self.pending_rents();
+        let mut wanted: Vec<(Offer, u32)> = Vec::new();
+        for (ix, n) in self.fleet.unmet.clone() {
+            let Some(job) = self.job(ix) else { continue };
+            let spec = job.spec.clone();
+            let need = Res::of(&spec);
+            let mut left = n;
+            for c in &mut coming {
+                if left == 0 {
+                    break;
+                }
+                if self.offer_allows(&c.offer, &spec, ix) {
+                    let k = need.times_in(&c.free).min(left);
+                    for _ in 0..k {
+                        c.free -= need;
+                    }
+                    left -= k;
+                }
+            }
+            let waited_s = (now as i64 - job.waiting_since as i64) as f64 / 1000.0;
+            let mut tries = 0;
+            while left > 0 && tries < 6 && total < self.cfg.max_machines {
+                tries += 1;
+                let Some((offer, per)) = self.choose(now, &spec, ix, left, waited_s) else { break };
+                let count = left.div_ceil(per).min(16).min((self.cfg.max_machines - total) as u32);
+                let Some(cap) = self.types.iter().find(|t| t.ix == offer.0).map(|t| t.cap) else { break };
+                for _ in 0..count {
+                    let mut free = cap;
+                    let k = per.min(left);
+                    for _ in 0..k {
+                        free -= need;
+                    }
+                    left -= k;
+                    coming.push(Coming { offer, free });
+                }
+                total += count as usize;
+                match wanted.iter_mut().find(|(o, _)| *o == offer) {
+                    Some((_, c)) => *c += count,
+                    None => wanted.push((offer, count)),
+                }
+                if wanted.len() >= RENTS_A_STEP {
+                    break;
+                }
+            }
+        }
+        for (offer, count) in wanted.into_iter().take(RENTS_A_STEP) {
+            let req = RentRequest {
+                request: self.fleet.ask(),
+                machine_type: tables.types.name(offer.0 .0).to_owned(),
+                zone: tables.zones.name(offer.1 .0).to_owned(),
+                spot: offer.2,
+                count: count.min(50),
+            };
+            self.send_rent(offer, req);
+        }
+    }
+
+    fn pending_rents(&self) -> usize {
+        let calls = self.fleet.calls.values().map(|c| match c {
+            Call::Rent { req, .. } => req.count as usize,
+            _ => 0,
+        });
+        calls.sum::<usize>() + self.fleet.again.iter().map(|(_, r, _)| r.count as usize).sum::<usize>()
+    }
+
+    fn send_rent(&mut self, offer: Offer, req: RentRequest) {
+        let call = self.call_id();
+        tracing::info!(ask = &*req.request, machine_type = &*req.machine_type, zone = &*req.zone, spot = req.spot, count = req.count, "renting");
+        self.fleet.calls.insert(call, Call::Rent { offer, req: req.clone() });
+        self.effects.push(Effect::Rent { call, req });
+    }
+
+    fn coming(&self, now: Ms) -> Vec<Coming> {
+        let mut out = Vec::new();
+        for m in &self.machines {
+            let Some(t) = self.type_of(m) else { continue };
+            // Far past its boot time, a machine is no longer counted on.
+            let late = (now.saturating_sub(m.rented)) as f64 > t.boot_s * 2_000.0 + 5_000.0;
+            if m.life == Life::Booting && m.places.is_empty() && !late {
+                out.push(Coming { offer: (t.ix, m.zone, m.spot), free: t.cap });
+            }
+        }
+        let asked = self.fleet.calls.values().filter_map(|c| match c {
+            Call::Rent { offer, req } => Some((*offer, req.count)),
+            _ => None,
+        });
+        for (offer, count) in asked.chain(self.fleet.again.iter().map(|(o, r, _)| (*o, r.count))) {
+            if let Some(t) = self.types.iter().find(|t| t.ix == offer.0) {
+                for _ in 0..count {
+                    out.push(Coming { offer, free: t.cap });
+                }
+            }
+        }
+        out
+    }
+
+    fn offer_allows(&self, offer: &Offer, spec: &JobSpec, job: JobIx) -> bool {
+        if !spec.allows_type(offer.0) || spec.zone.is_some_and(|z| z != offer.1) || (offer.2 && !spec.spot) {
+            return false;
+        }
+        if !(spec.spread || spec.one_zone) {
+            return true;
+        }
+        let Some(j) = self.job(job) else { return false };
+        let mut here = 0;
+        let mut elsewhere = 0;
+        for s in &j.slots {
+            if let Slot::At(p) = s {
+                match self.place(*p) {
+                    Some(p) if p.zone == offer.1 => here += 1,
+                    _ => elsewhere += 1,
+                }
+            }
+        }
+        (!spec.spread || here < spec.zone_cap()) && (!spec.one_zone || elsewhere == 0)
+    }
+
+    /// The cheapest offer for what is left, and how many tasks one machine of it takes.
+    fn choose(&self, now: Ms, spec: &JobSpec, job: JobIx, left: u32, waited_s: f64) -> Option<(Offer, u32)> {
+        let need = Res::of(spec);
+        let mut cheapest = f64::INFINITY;
+        let mut best: Option<(f64, Offer, u32)> = None;
+        for t in &self.types {
+            let per = need.times_in(&t.cap);
+            if per == 0 || !spec.allows_type(t.ix) {
+                continue;
+            }
+            for &z in &t.zones {
+                for spot in [false, true] {
+                    if spot && !(spec.spot && self.cfg.use_spot) {
+                        continue;
+                    }
+                    let offer = (t.ix, z, spot);
+                    if !self.offer_allows(&offer, spec, job) {
+                        continue;
+                    }
+                    let slots = f64::from(per.min(left.max(1)));
+                    let ready = t.boot_s + spec.image_gb / t.fetch_gb_per_s.max(0.01);
+                    let cost = t.price_of(spot) / slots * (1.0 + ready / 120.0);
+                    cheapest = cheapest.min(cost);
+                    let open = self.fleet.refused.get(&offer).is_none_or(|(until, _)| now >= *until);
+                    if open && best.as_ref().is_none_or(|b| cost < b.0) {
+                        best = Some((cost, offer, per));
+                    }
+                }
+            }
+        }
+        let (cost, offer, per) = best?;
+        // Much dearer than the cheapest kind: only for work that has waited.
+        (cost <= cheapest * (1.6 + waited_s / 12.0)).then_some((offer, per))
+    }
+
+    pub fn rented(&mut self, now: Ms, call: u64, outcome: RentOutcome) {
+        let Some(Call::Rent { offer, req }) = self.fleet.calls.remove(&call) else { return };
+        match outcome {
+            RentOutcome::Rented(ids) => {
+                if (ids.len() as u32) < req.count {
+                    self.fleet.refused.insert(offer, (now + REFUSED_MS, REFUSED_MS));
+                } else {
+                    self.fleet.refused.remove(&offer);
+                }
+                for id in ids {
+                    let ix = self.machine_named(now, &id, offer.1);
+                    let m = &mut self.machines[ix.at()];
+                    m.ty = m.ty.or(Some(offer.0));
+                    m.spot = offer.2;
+                    m.zone = offer.1;
+                    if m.life == Life::Booting {
+                        m.rented = now;
+                    }
+                }
+            }
+            RentOutcome::NoCapacity => {
+                let wait = self.fleet.refused.get(&offer).map_or(REFUSED_MS, |(_, w)| (w * 3 / 2).min(REFUSED_MAX_MS));
+                self.fleet.refused.insert(offer, (now + wait, wait));
+            }
+            // Guard: the same name again, so that it can't be rented twice.
+            RentOutcome::Again => self.fleet.again.push((offer, req, now + 1_500)),
+            RentOutcome::Malformed => {
+                tracing::error!(ask = &*req.request, "the cloud calls a rental malformed");
+                self.fleet.refused.insert(offer, (now + REFUSED_MAX_MS, REFUSED_MAX_MS));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/model.rs
@@ -0,0 +1,459 @@
+//! The leader's picture: jobs, machines, and the places where tasks may be.
+
+use std::{net::SocketAddr, ops, rc::Rc};
+
+use crate::{
+    bookkeeping::{mirror::JobIx, records::Status},
+    protocol::{
+        jobs::JobSpec,
+        names::{ImageIx, TypeIx, ZoneIx},
+        workers::{TaskState, Why},
+    },
+};
+
+pub type Ms = u64;
+
+macro_rules! index {
+    ($name:ident) => {
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub struct $name(pub u32);
+
+        impl $name {
+            pub fn at(self) -> usize {
+                self.0 as usize
+            }
+        }
+    };
+}
+
+index!(PlaceIx);
+index!(MachineIx);
+
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Res {
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+}
+
+/// Sums of decimals are compared with this much slack.
+pub const EPS: f64 = 1e-6;
+
+impl Res {
+    pub fn of(spec: &JobSpec) -> Res {
+        Res { cpus: spec.cpus, gpus: spec.gpus, memory_gb: spec.memory_gb }
+    }
+
+    pub fn fits_in(&self, room: &Res) -> bool {
+        self.cpus <= room.cpus + EPS && self.gpus <= room.gpus + EPS && self.memory_gb <= room.memory_gb + EPS
+    }
+
+    /// How many times `self` fits into `room`.
+    pub fn times_in(&self, room: &Res) -> u32 {
+        let one = |need: f64, have: f64| {
+            if need <= EPS {
+                f64::from(u32::MAX)
+            } else {
+                ((have + EPS) / need).floor().max(0.0)
+            }
+        };
+        one(self.cpus, room.cpus).min(one(self.gpus, room.gpus)).min(one(self.memory_gb, room.memory_gb)) as u32
+    }
+
+    pub fn max0(self) -> Res {
+        Res { cpus: self.cpus.max(0.0), gpus: self.gpus.max(0.0), memory_gb: self.memory_gb.max(0.0) }
+    }
+
+    pub fn min(self, o: Res) -> Res {
+        Res { cpus: self.cpus.min(o.cpus), gpus: self.gpus.min(o.gpus), memory_gb: self.memory_gb.min(o.memory_gb) }
+    }
+}
+
+impl ops::Add for Res {
+    type Output = Res;
+    fn add(self, o: Res) -> Res {
+        Res { cpus: self.cpus + o.cpus, gpus: self.gpus + o.gpus, memory_gb: self.memory_gb + o.memory_gb }
+    }
+}
+
+impl ops::Sub for Res {
+    type Output = Res;
+    fn sub(self, o: Res) -> Res {
+        Res { cpus: self.cpus - o.cpus, gpus: self.gpus - o.gpus, memory_gb: self.memory_gb - o.memory_gb }
+    }
+}
+
+impl ops::AddAssign for Res {
+    fn add_assign(&mut self, o: Res) {
+        *self = *self + o;
+    }
+}
+
+impl ops::SubAssign for Res {
+    fn sub_assign(&mut self, o: Res) {
+        *self = *self - o;
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Slot {
+    Pending,
+    Done,
+    At(PlaceIx),
+}
+
+/// One `t/` record: the wanted state has version `ver`, the written one `committed`.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Chunk {
+    pub ver: u64,
+    pub committed: u64,
+    pub stamp: u64,
+}
+
+#[derive(Debug)]
+pub struct Job {
+    pub ix: JobIx,
+    pub id: Rc<str>,
+    pub spec: Rc<JobSpec>,
+    pub stamp: u64,
+    pub status: Status,
+    /// On the leader's steady clock; may lie before its start.
+    pub since: i64,
+    pub chunk_size: u32,
+    pub slots: Vec<Slot>,
+    pub chunks: Vec<Chunk>,
+    /// Pending task numbers, the next one last.
+    pub pending: Vec<u32>,
+    pub done: u32,
+    pub placed: u32,
+    pub running: u32,
+    /// Not to be tried before.
+    pub not_before: Ms,
+    /// A transaction found the record changed; wait until the mirror shows it.
+    pub stale: bool,
+    /// Something ran before: later tasks may trigger eviction on their own.
+    pub started: bool,
+    pub errors: u32,
+    pub error_on: Vec<MachineIx>,
+    pub shown: (u32, u32),
+    pub evict_at: Ms,
+    /// First seen waiting without room, for the logs and the fleet.
+    pub waiting_since: Ms,
+}
+
+impl Job {
+    pub fn all_done(&self) -> bool {
+        self.done as usize == self.slots.len()
+    }
+
+    pub fn chunk_of(&self, task: u32) -> usize {
+        (task / self.chunk_size) as usize
+    }
+
+    pub fn touch(&mut self, task: u32) -> u64 {
+        let c = self.chunk_of(task);
+        self.chunks[c].ver += 1;
+        self.chunks[c].ver
+    }
+
+    pub fn is_dirty(&self) -> bool {
+        self.chunks.iter().any(|c| c.ver != c.committed)
+    }
+
+    pub fn age_s(&self, now: Ms) -> f64 {
+        (now as i64 - self.since) as f64 / 1000.0
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum PlaceState {
+    /// In the wanted state; launched once its record is written.
+    Wanted,
+    Seen(TaskState),
+    /// Has ended, but that isn't settled while an old command may still be under way.
+    Ended(Why),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Halt {
+    pub grace_s: f64,
+    pub since: Ms,
+    /// When it was last sent.
+    pub sent: Option<Ms>,
+}
+
+#[derive(Debug)]
+pub struct Place {
+    pub job: JobIx,
+    pub task: u32,
+    pub machine: MachineIx,
+    pub zone: ZoneIx,
+    pub session: u64,
+    pub attempt: u64,
+    /// Version of its chunk that first held it.
+    pub ver: u64,
+    pub state: PlaceState,
+    /// When its launch was last sent.
+    pub sent: Option<Ms>,
+    pub running_since: Option<Ms>,
+    pub halt: Option<Halt>,
+    pub made: Ms,
+}
+
+/// An ended task that the worker still lists: reaped once its end is written.
+#[derive(Debug, Clone)]
+pub struct Tomb {
+    pub task: String,
+    pub attempt: u64,
+    pub job: JobIx,
+    pub chunk: usize,
+    pub ver: u64,
+}
+
+#[derive(Debug, Clone)]
+pub struct DoCall {
+    pub id: u64,
+    pub sent: Ms,
+    /// Places whose launch it carries.
+    pub launches: Vec<(JobIx, u32, u64)>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Life {
+    /// Rented or listed; its worker has not reported yet.
+    Booting,
+    Up,
+    /// Being handed back.
+    Returning,
+    /// The cloud said that it is gone.
+    Gone,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub id: String,
+    pub addr: Option<SocketAddr>,
+    pub ty: Option<TypeIx>,
+    pub zone: ZoneIx,
+    pub spot: bool,
+    pub life: Life,
+    pub session: u64,
+    pub seq: u64,
+    /// Reports of sessions up to this one are too old to mean anything.
+    pub dead_session: u64,
+    /// The token that commands to it carry now.
+    pub token: u64,
+    /// Absence and ends prove something once it has shown at least this token.
+    pub fence: u64,
+    pub seen_token: u64,
+    /// When its last report came.
+    pub heard: Option<Ms>,
+    /// When the last 200 went to one of its reports, by us or anyone before.
+    pub renewed: Ms,
+    pub notice_until: Option<Ms>,
+    pub places: Vec<PlaceIx>,
+    pub tombs: Vec<Tomb>,
+    pub call: Option<DoCall>,
+    pub call_after: Ms,
+    /// The answer to its last report carried launches, and no report came since.
+    pub answer_open: bool,
+    /// Images it holds or fetches, most recent last.
+    pub images: Vec<(ImageIx, f64)>,
+    pub rented: Ms,
+    pub up_at: Option<Ms>,
+    pub idle_since: Option<Ms>,
+    pub avoid_until: Ms,
+    /// Jobs whose tasks failed here, and when.
+    pub errors: Vec<(JobIx, Ms)>,
+    /// To be emptied and handed back.
+    pub retire: bool,
+    pub return_after: Ms,
+    pub listed: bool,
+    /// Observed run time against what was expected, smoothed; 1 is usual.
+    pub slowness: f64,
+}
+
+impl Machine {
+    pub fn new(id: &str, zone: ZoneIx, token: u64, now: Ms) -> Machine {
+        Machine {
+            id: id.to_owned(),
+            addr: None,
+            ty: None,
+            zone,
+            spot: false,
+            life: Life::Booting,
+            session: 0,
+            seq: 0,
+            dead_session: 0,
+            token,
+            fence: token,
+            seen_token: 0,
+            heard: None,
+            renewed: now,
+            notice_until: None,
+            places: Vec::new(),
+            tombs: Vec::new(),
+            call: None,
+            call_after: 0,
+            answer_open: false,
+            images: Vec::new(),
+            rented: now,
+            up_at: None,
+            idle_since: None,
+            avoid_until: 0,
+            errors: Vec::new(),
+            retire: false,
+            return_after: 0,
+            listed: false,
+            slowness: 1.0,
+        }
+    }
+
+    /// No command sent earlier can still take effect behind our back.
+    pub fn fenced(&self) -> bool {
+        self.seen_token >= self.fence
+    }
+
+    pub fn has_image(&self, image: ImageIx) -> bool {
+        self.images.iter().any(|(i, _)| *i == image)
+    }
+
+    /// Notes that an image was fetched or used, and forgets what fell out of the cache.
+    pub fn note_image(&mut self, image: ImageIx, gb: f64, cache_gb: f64) {
+        self.images.retain(|(i, _)| *i != image);
+        self.images.push((image, gb));
+        let mut sum: f64 = self.images.iter().map(|(_, g)| g).sum();
+        while sum > cache_gb && self.images.len() > 1 {
+            sum -= self.images.remove(0).1;
+        }
+    }
+}
+
+/// A machine type as the cloud describes it.
+#[derive(Debug, Clone)]
+pub struct TypeInfo {
+    pub ix: TypeIx,
+    pub cap: Res,
+    pub cache_gb: f64,
+    pub fetch_gb_per_s: f64,
+    pub price: f64,
+    pub spot_price: f64,
+    pub boot_s: f64,
+    pub zones: Vec<ZoneIx>,
+}
+
+impl TypeInfo {
+    pub fn price_of(&self, spot: bool) -> f64 {
+        if spot && self.spot_price > 0.0 {
+            self.spot_price
+        } else {
+            self.price
+        }
+    }
+}
+
+/// Can one task of this job ever run on some machine that may be rented?
+pub fn fits_some_type(spec: &JobSpec, types: &[TypeInfo]) -> bool {
+    types.iter().any(|t| {
+        spec.allows_type(t.ix)
+            && Res::of(spec).fits_in(&t.cap)
+            && spec.zone.is_none_or(|z| t.zones.contains(&z))
+    })
+}
+
+/// A team's guarantee and limit; None: none is set.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct TeamLimits {
+    pub cpus: Option<f64>,
+    pub gpus: Option<f64>,
+    pub cpus_max: Option<f64>,
+    pub gpus_max: Option<f64>,
+}
+
+impl TeamLimits {
+    /// How many more tasks of this kind the limit allows on top of `used`.
+    pub fn room_for(&self, spec: &JobSpec, used: &Res) -> u32 {
+        let one = |max: Option<f64>, used: f64, need: f64| match max {
+            Some(max) if need > 0.0 => ((max - used + EPS) / need).floor().max(0.0) as u32,
+            _ => u32::MAX,
+        };
+        one(self.cpus_max, used.cpus, spec.cpus).min(one(self.gpus_max, used.gpus, spec.gpus))
+    }
+
+    /// 422: the job as a whole needs more than the limit ever allows.
+    pub fn ever_allows(&self, spec: &JobSpec) -> bool {
+        let tasks = match spec.kind {
+            crate::protocol::jobs::Kind::Array => 1,
+            _ => spec.tasks,
+        };
+        self.room_for(spec, &Res::default()) >= tasks
+    }
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+    use crate::protocol::{
+        jobs::{Kind, Priority},
+        names::{ClassIx, TeamIx},
+    };
+
+    pub fn spec(kind: Kind, priority: Priority, tasks: u32, cpus: f64) -> JobSpec {
+        JobSpec {
+            class: ClassIx(0),
+            team: TeamIx(0),
+            kind,
+            priority,
+            tasks,
+            cpus,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: ImageIx(0),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            estimate_s: 10.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        }
+    }
+
+    #[test]
+    fn limits_table() {
+        let some = |c: f64, g: f64| TeamLimits {
+            cpus_max: (c > 0.0).then_some(c),
+            gpus_max: (g > 0.0).then_some(g),
+            ..TeamLimits::default()
+        };
+        // (limit, gpus a task, used gpus, tasks more, kind, tasks, ever)
+        let cases = [
+            (some(0.0, 0.0), 4.0, 100.0, u32::MAX, Kind::Gang, 9, true),
+            (some(0.0, 16.0), 4.0, 8.0, 2, Kind::Gang, 4, true),
+            (some(0.0, 16.0), 4.0, 8.0, 2, Kind::Gang, 5, false),
+            (some(0.0, 16.0), 4.0, 16.0, 0, Kind::Array, 50, true),
+            (some(0.0, 3.0), 4.0, 0.0, 0, Kind::Array, 1, false),
+            (some(0.0, 16.0), 0.0, 16.0, u32::MAX, Kind::Service, 3, true),
+            (some(5.0, 0.0), 0.0, 0.0, 2, Kind::Service, 3, false),
+        ];
+        for (i, (limits, gpus, used, room, kind, tasks, ever)) in cases.into_iter().enumerate() {
+            let mut s = spec(kind, Priority::Low, tasks, 2.0);
+            s.gpus = gpus;
+            let used = Res { gpus: used, ..Res::default() };
+            assert_eq!(limits.room_for(&s, &used), room, "case {i}");
+            assert_eq!(limits.ever_allows(&s), ever, "case {i}");
+        }
+    }
+
+    #[test]
+    fn images_fall_out_oldest_first() {
+        let mut m = Machine::new("i-1", ZoneIx(0), 0, 0);
+        for (i, gb) in [(1, 4.0), (2, 4.0), (1, 4.0), (3, 4.0)] {
+            m.note_image(ImageIx(i), gb, 10.0);
+        }
+        assert!(m.has_image(ImageIx(1)) && m.has_image(ImageIx(3)) && !m.has_image(ImageIx(2)));
+    }
+}
--- /dev/null
+++ b/src/coordination/pass.rs
@@ -0,0 +1,265 @@
+//! A pass: every waiting job's tree is tried on the picture, in order of
+//! priority; what succeeds becomes part of the wanted state.
+
+use std::{collections::HashMap, rc::Rc};
+
+use super::{
+    leader::Leader,
+    model::*,
+    trial::{Ask, Host, Picture, Verdict},
+};
+use crate::{
+    bookkeeping::{mirror::JobIx, records::Status},
+    protocol::{
+        jobs::{JobSpec, Kind, Priority},
+        names::TeamIx,
+    },
+};
+
+/// Most tasks of one job placed in one pass, so that a large one doesn't stall the rest.
+const TASKS_A_PASS: usize = 256;
+/// How long work of normal priority waits before others' work is stopped for it.
+const PATIENCE_MS: i64 = 10_000;
+
+/// What a pass knows beside the picture.
+pub struct Ledger {
+    /// In use by team.
+    pub used: Vec<Res>,
+    /// Tasks somewhere by zone, of jobs that restrict zones.
+    pub zones: HashMap<JobIx, Vec<u32>>,
+    /// Jobs within their team's guarantee, by job index.
+    pub guaranteed: Vec<JobIx>,
+}
+
+impl Leader {
+    pub fn team_limits(&self, team: TeamIx) -> TeamLimits {
+        self.cfg.teams.get(team.at()).copied().unwrap_or_default()
+    }
+
+    pub fn picture(&self, now: Ms) -> Picture {
+        let mut hosts = Vec::with_capacity(self.machines.len());
+        for (n, m) in self.machines.iter().enumerate() {
+            if matches!(m.life, Life::Gone | Life::Booting) || m.session == 0 {
+                continue;
+            }
+            let Some(t) = self.type_of(m) else { continue };
+            let mut host = Host {
+                ix: MachineIx(n as u32),
+                ty: t.ix,
+                zone: m.zone,
+                spot: m.spot,
+                cap: t.cap,
+                free: t.cap,
+                soon: Res::default(),
+                images: m.images.iter().map(|(i, _)| *i).collect::<Vec<_>>().into(),
+                fetch_gb_per_s: t.fetch_gb_per_s,
+                price: t.price_of(m.spot),
+                services: 0,
+                slowness: m.slowness,
+                open: m.life == Life::Up
+                    && m.heard.is_some_and(|h| now < h + 2 * self.cfg.report_ms + 500)
+                    && m.notice_until.is_none()
+                    && !m.retire
+                    && now >= m.avoid_until,
+            };
+            for &p in &m.places {
+                let Some(p) = self.place(p) else { continue };
+                let Some(job) = self.job(p.job) else { continue };
+                let need = Res::of(&job.spec);
+                host.free -= need;
+                if p.halt.is_some() {
+                    host.soon += need;
+                }
+                if job.spec.kind == Kind::Service {
+                    host.services += 1;
+                }
+            }
+            hosts.push(host);
+        }
+        Picture { hosts }
+    }
+
+    pub fn ledger(&self) -> Ledger {
+        let mut used = vec![Res::default(); self.cfg.teams.len()];
+        let mut zones: HashMap<JobIx, Vec<u32>> = HashMap::new();
+        for p in self.places.iter().flatten() {
+            let Some(job) = self.job(p.job) else { continue };
+            if let Some(u) = used.get_mut(job.spec.team.at()) {
+                *u += Res::of(&job.spec);
+            }
+            if job.spec.one_zone || job.spec.spread {
+                let z = zones.entry(p.job).or_default();
+                if z.len() <= p.zone.at() {
+                    z.resize(p.zone.at() + 1, 0);
+                }
+                z[p.zone.at()] += 1;
+            }
+        }
+        // A job is within the guarantee when it fits into it together with its
+        // team's earlier unfinished jobs. Where no amount is set for CPUs, only
+        // work that asks for GPUs can be within it.
+        let mut jobs: Vec<&Job> =
+            self.active.iter().filter_map(|&j| self.job(j)).filter(|j| j.status == Status::Pending).collect();
+        jobs.sort_by_key(|j| j.since);
+        let mut sums: Vec<Res> = vec![Res::default(); self.cfg.teams.len()];
+        let mut guaranteed = Vec::new();
+        for j in jobs {
+            let Some(sum) = sums.get_mut(j.spec.team.at()) else { continue };
+            let limits = self.team_limits(j.spec.team);
+            let n = f64::from(j.spec.tasks - j.done.min(j.spec.tasks));
+            sum.cpus += n * j.spec.cpus;
+            sum.gpus += n * j.spec.gpus;
+            let within = |have: Option<f64>, sum: f64, need: f64| match have {
+                Some(g) => sum <= g + EPS,
+                None => need <= EPS,
+            };
+            let cpus_fit = limits.cpus.is_none_or(|g| sum.cpus <= g + EPS);
+            if cpus_fit
+                && within(limits.gpus, sum.gpus, j.spec.gpus)
+                && (j.spec.gpus > 0.0 || limits.cpus.is_some())
+            {
+                guaranteed.push(j.ix);
+            }
+        }
+        Ledger { used, zones, guaranteed }
+    }
+
+    fn pass_order(&self, now: Ms, ledger: &Ledger) -> Vec<JobIx> {
+        let mut order: Vec<(Priority, bool, i64, JobIx)> = self
+            .active
+            .iter()
+            .filter_map(|&ix| self.job(ix))
+            .filter(|j| j.status == Status::Pending && !j.pending.is_empty() && now >= j.not_before && !j.stale)
+            // A gang starts anew only once all of its old attempt is gone.
+            .filter(|j| j.spec.kind != Kind::Gang || j.placed == 0)
+            .map(|j| (j.spec.priority, ledger.guaranteed.contains(&j.ix), j.since, j.ix))
+            .collect();
+        order.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.cmp(&a.1)).then(a.2.cmp(&b.2)).then(a.3.cmp(&b.3)));
+        order.into_iter().map(|o| o.3).collect()
+    }
+
+    pub fn pass(&mut self, now: Ms) {
+        self.dirty = false;
+        self.last_pass = now;
+        let mut ledger = self.ledger();
+        let order = self.pass_order(now, &ledger);
+        let mut unmet: Vec<(JobIx, u32)> = Vec::new();
+        if order.is_empty() {
+            self.fleet.unmet = unmet;
+            return;
+        }
+        let mut picture = self.picture(now);
+        // Shapes that found no room at all: room only shrinks within a pass.
+        let mut failed: Vec<Rc<JobSpec>> = Vec::new();
+        for ix in order {
+            let Some(job) = self.job(ix) else { continue };
+            let spec = job.spec.clone();
+            let room = self.team_limits(spec.team).room_for(&spec, &ledger.used.get(spec.team.at()).copied().unwrap_or_default());
+            let n = job.pending.len().min(room as usize).min(TASKS_A_PASS.max(gang_size(job)));
+            let gang = spec.kind == Kind::Gang;
+            if n == 0 || (gang && n < job.pending.len()) {
+                continue; // its team's limit
+            }
+            let tasks: Vec<u32> = job.pending.iter().rev().take(n).copied().collect();
+            let min = if gang { n } else { 1 };
+            let zone_used = ledger.zones.get(&ix).cloned().unwrap_or_default();
+            let avoid = self.avoided(job);
+            let ask = Ask { spec: &spec, tasks: &tasks, min, zone_used: &zone_used, avoid: &avoid };
+            let hopeless = failed.iter().any(|f| at_least_as_hard(&spec, f));
+            let out = if hopeless {
+                None
+            } else {
+                Some(picture.trial(&ask)).filter(|o| o.verdict == Verdict::Success)
+            };
+            let placed = out.as_ref().map_or(0, |o| o.picks.len());
+            if let Some(out) = out {
+                let attempt = self.next_attempt();
+                for pick in &out.picks {
+                    let h = &picture.hosts[pick.host];
+                    let session = self.machine(h.ix).session;
+                    self.add_place(now, ix, pick.task, h.ix, session, attempt, h.zone);
+                    if let Some(u) = ledger.used.get_mut(spec.team.at()) {
+                        *u += Res::of(&spec);
+                    }
+                }
+                tracing::debug!(job = ix.0, placed, of = n, "placed");
+            } else if !hopeless && avoid.is_empty() && zone_used.is_empty() {
+                failed.push(spec.clone());
+            }
+            if placed < n {
+                let rest: Vec<u32> = tasks[placed..].to_vec();
+                unmet.push((ix, rest.len() as u32));
+                self.make_room(now, ix, &rest, &mut picture, &ledger);
+            } else if let Some(j) = self.job_mut(ix) {
+                j.waiting_since = now;
+            }
+        }
+        self.fleet.unmet = unmet;
+    }
+
+    fn avoided(&self, job: &Job) -> Vec<MachineIx> {
+        let up = self.machines.iter().filter(|m| m.life == Life::Up).count();
+        // Once it failed nearly everywhere, the machines aren't the reason.
+        if job.error_on.len() >= 4 || job.error_on.len() * 2 >= up {
+            return Vec::new();
+        }
+        job.error_on.clone()
+    }
+
+    /// No room now: wait for what is being stopped, or stop other work.
+    fn make_room(&mut self, now: Ms, ix: JobIx, tasks: &[u32], picture: &mut Picture, ledger: &Ledger) {
+        let Some(job) = self.job(ix) else { return };
+        let spec = job.spec.clone();
+        let gang = spec.kind == Kind::Gang;
+        let zone_used = ledger.zones.get(&ix).cloned().unwrap_or_default();
+        let within = ledger.guaranteed.contains(&ix);
+        let patient = spec.priority <= Priority::Normal && !within;
+        if spec.priority == Priority::Low && !within {
+            return;
+        }
+        if patient && (now as i64 - job.waiting_since as i64) < PATIENCE_MS {
+            return;
+        }
+        let min = if gang { tasks.len() } else { 1 };
+        let ask = Ask { spec: &spec, tasks, min, zone_used: &zone_used, avoid: &[] };
+        let mut need = tasks;
+        if picture.hosts.iter().any(|h| h.soon.cpus > 0.0 || h.soon.gpus > 0.0) {
+            let out = picture.later().trial(&ask);
+            if out.verdict == Verdict::Success {
+                picture.reserve(&spec, &out.picks);
+                need = &tasks[out.picks.len()..];
+            }
+        }
+        if need.is_empty() || now < job.evict_at {
+            return;
+        }
+        let made = self.evict(now, ix, need, picture, ledger);
+        if let Some(j) = self.job_mut(ix) {
+            j.evict_at = now + if made { 1_000 } else { 2_000 };
+        }
+    }
+}
+
+fn gang_size(job: &Job) -> usize {
+    if job.spec.kind == Kind::Gang {
+        job.pending.len()
+    } else {
+        0
+    }
+}
+
+/// If `b` found no room anywhere, neither does `a`.
+fn at_least_as_hard(a: &JobSpec, b: &JobSpec) -> bool {
+    let as_gang = a.kind == Kind::Gang || b.kind != Kind::Gang;
+    let gang_tasks = b.kind != Kind::Gang || a.tasks >= b.tasks;
+    as_gang
+        && gang_tasks
+        && a.cpus >= b.cpus
+        && a.gpus >= b.gpus
+        && a.memory_gb >= b.memory_gb
+        && a.types == b.types
+        && a.zone == b.zone
+        && (b.spot || !a.spot)
+        && a.one_zone >= b.one_zone
+        && a.spread == b.spread
+}
--- /dev/null
+++ b/src/coordination/preemption.rs
@@ -0,0 +1,170 @@
+//! Eviction, decided at the root: which tasks are stopped so that a job of
+//! higher priority, or one within its team's guarantee, gets room.
+
+use super::{
+    leader::Leader,
+    model::*,
+    pass::Ledger,
+    trial::{Pick, Picture},
+};
+use crate::{
+    bookkeeping::{mirror::JobIx, records::Status},
+    protocol::jobs::{Kind, Priority},
+};
+
+/// Tasks of one array for which room is made in one pass.
+const ARRAY_TASKS: usize = 4;
+/// Machines looked at, when there are more than can be searched in full.
+const SAMPLE: usize = 256;
+
+struct Victim {
+    place: PlaceIx,
+    need: Res,
+    cost: f64,
+}
+
+impl Leader {
+    /// What stopping a place costs, or None when the preemptor may not stop it.
+    fn victim(&self, now: Ms, p: PlaceIx, by: &Job, within: bool, ledger: &Ledger) -> Option<Victim> {
+        let place = self.place(p)?;
+        if place.halt.is_some() || matches!(place.state, PlaceState::Ended(_)) {
+            return None;
+        }
+        let job = self.job(place.job)?;
+        if job.status != Status::Pending || place.job == by.ix {
+            return None;
+        }
+        let lower = job.spec.priority < by.spec.priority;
+        let borrowed = within && job.spec.team != by.spec.team && {
+            let limits = self.team_limits(job.spec.team);
+            let used = ledger.used.get(job.spec.team.at()).copied().unwrap_or_default();
+            let over = |have: Option<f64>, used: f64| used > have.unwrap_or(0.0) + EPS;
+            (by.spec.gpus > 0.0 && job.spec.gpus > 0.0 && over(limits.gpus, used.gpus))
+                || (by.spec.cpus > 0.0 && limits.cpus.is_some() && over(limits.cpus, used.cpus))
+        };
+        if !lower && !borrowed {
+            return None;
+        }
+        let ran = place.running_since.map_or(0.0, |s| (now - s) as f64 / 1000.0);
+        let lost = if job.spec.checkpoint_s > 0.0 {
+            ran.min(job.spec.checkpoint_s).min(job.spec.save_s + 2.0)
+        } else {
+            ran
+        };
+        let rank = match job.spec.priority {
+            Priority::Low => 0.0,
+            Priority::Normal => 20.0,
+            Priority::High => 200.0,
+            Priority::Production => 2_000.0,
+        };
+        // A gang is stopped whole.
+        let many = if job.spec.kind == Kind::Gang { f64::from(job.placed) } else { 1.0 };
+        Some(Victim { place: p, need: Res::of(&job.spec), cost: (5.0 + rank + lost) * many })
+    }
+
+    /// Stops other work so that `tasks` get room. True if something was stopped.
+    pub fn evict(&mut self, now: Ms, ix: JobIx, tasks: &[u32], picture: &mut Picture, ledger: &Ledger) -> bool {
+        let Some(job) = self.job(ix) else { return false };
+        let spec = job.spec.clone();
+        let within = ledger.guaranteed.contains(&ix);
+        let need = Res::of(&spec);
+        let gang = spec.kind == Kind::Gang;
+        let tasks = if spec.kind == Kind::Array { &tasks[..tasks.len().min(ARRAY_TASKS)] } else { tasks };
+        let zone_used = ledger.zones.get(&ix).cloned().unwrap_or_default();
+        let mut in_zone = zone_used.clone();
+        let mut halts: Vec<PlaceIx> = Vec::new();
+        let mut picks: Vec<Pick> = Vec::new();
+        let mut trial = picture.clone();
+        for &task in tasks {
+            let mut best: Option<(f64, usize, Vec<PlaceIx>, Res)> = None;
+            for (n, h) in trial.hosts.iter().enumerate().take(SAMPLE) {
+                if !Picture::host_allows(h, &spec) {
+                    continue;
+                }
+                let here = in_zone.get(h.zone.at()).copied().unwrap_or(0);
+                let elsewhere: u32 = in_zone.iter().sum::<u32>() - here;
+                if (spec.one_zone && elsewhere > 0) || (spec.spread && here >= spec.zone_cap()) {
+                    continue;
+                }
+                let mut have = h.free + h.soon;
+                let mut victims: Vec<Victim> = self
+                    .machine(h.ix)
+                    .places
+                    .iter()
+                    .filter(|p| !halts.contains(p))
+                    .filter_map(|&p| self.victim(now, p, job, within, ledger))
+                    .collect();
+                victims.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+                let (mut cost, mut list, mut freed) = (0.0, Vec::new(), Res::default());
+                for v in victims {
+                    if need.fits_in(&have) {
+                        break;
+                    }
+                    // Stop only what gives something that is missing.
+                    let helps = (v.need.gpus > 0.0 && have.gpus < need.gpus)
+                        || (v.need.cpus > 0.0 && have.cpus + EPS < need.cpus)
+                        || (v.need.memory_gb > 0.0 && have.memory_gb + EPS < need.memory_gb);
+                    if !helps {
+                        continue;
+                    }
+                    have += v.need;
+                    freed += v.need;
+                    cost += v.cost;
+                    list.push(v.place);
+                }
+                if !need.fits_in(&have) {
+                    continue;
+                }
+                if !h.images.contains(&spec.image) {
+                    cost += spec.image_gb / h.fetch_gb_per_s.max(0.01) * 2.0;
+                }
+                if need.gpus <= 0.0 && h.cap.gpus > 0.0 {
+                    cost += 90.0;
+                }
+                if best.as_ref().is_none_or(|b| cost < b.0) {
+                    best = Some((cost, n, list, freed));
+                }
+            }
+            let Some((_, n, list, freed)) = best else {
+                if gang {
+                    return false;
+                }
+                break;
+            };
+            let h = &mut trial.hosts[n];
+            h.soon += freed;
+            if in_zone.len() <= h.zone.at() {
+                in_zone.resize(h.zone.at() + 1, 0);
+            }
+            in_zone[h.zone.at()] += 1;
+            trial.reserve(&spec, &[Pick { task, host: n }]);
+            halts.extend(list);
+            picks.push(Pick { task, host: n });
+        }
+        if picks.is_empty() {
+            return false;
+        }
+        *picture = trial;
+        let urgent = spec.priority == Priority::Production;
+        let mut stopped = 0;
+        for p in halts {
+            let Some(place) = self.place(p) else { continue };
+            let (vjob, gang) = match self.job(place.job) {
+                Some(j) => (place.job, j.spec.kind == Kind::Gang),
+                None => continue,
+            };
+            let save = self.job(vjob).map_or(0.0, |j| if j.spec.checkpoint_s > 0.0 { j.spec.save_s + 2.0 } else { 0.0 });
+            let grace = if urgent { 0.0 } else { save };
+            stopped += 1;
+            if gang {
+                self.stop_job(now, vjob, save);
+            } else {
+                self.halt(now, p, grace);
+            }
+        }
+        if stopped > 0 {
+            tracing::info!(job = ix.0, stopped, tasks = picks.len(), "made room");
+        }
+        stopped > 0
+    }
+}
--- /dev/null
+++ b/src/node/users.rs
@@ -0,0 +1,259 @@
+//! Users' requests, served by every controller alone through the state service.
+
+use std::rc::Rc;
+
+use super::wiring::{wall_ms, Node, Pending, Waiter};
+use crate::{
+    bookkeeping::{
+        budget::Urgency,
+        mirror::{JobEntry, JobIx},
+        records::{self, JobRecord, Status},
+    },
+    coordination::model::fits_some_type,
+    protocol::{
+        cbor,
+        jobs::{valid_id, JobAnswer, PollAnswer, Refusal, Submission},
+        store::{Condition, Op, Txn},
+    },
+    transport::{CallError, ConnId, Net, Reply},
+};
+
+const TRY_AGAIN_S: u32 = 1;
+
+fn status_word(e: &JobEntry) -> &'static str {
+    match e.status {
+        Status::Done => "done",
+        Status::Cancelled => "cancelled",
+        Status::Pending if e.running > 0 => "running",
+        Status::Pending => "pending",
+    }
+}
+
+impl Node {
+    pub fn unavailable(&self, net: &mut Net, conn: ConnId) {
+        net.respond(conn, 503, Some(TRY_AGAIN_S), b"");
+    }
+
+    fn over_budget(&self, net: &mut Net, conn: ConnId, wait_ms: u64) {
+        let s = wait_ms.div_ceil(1_000).clamp(1, 30) as u32;
+        net.respond(conn, 429, Some(s), b"");
+    }
+
+    fn job_answer(&self, net: &mut Net, conn: ConnId, code: u16, id: &str, status: &str) {
+        net.respond(conn, code, None, &cbor::encode(&JobAnswer { name_id: id, status }));
+    }
+
+    fn poll_answer(&self, net: &mut Net, conn: ConnId, ix: JobIx) {
+        let e = self.mirror.get(ix);
+        let a = PollAnswer { name_id: &e.id, status: status_word(e), done: e.done, running: e.running };
+        net.respond(conn, 200, None, &cbor::encode(&a));
+    }
+
+    fn is_final(&self, ix: JobIx) -> bool {
+        self.mirror.get(ix).status != Status::Pending
+    }
+
+    // ---- submit --------------------------------------------------------
+
+    pub fn submit(&mut self, net: &mut Net, conn: ConnId, body: &[u8]) {
+        let Ok(sub) = cbor::decode::<Submission>(body) else {
+            return net.respond(conn, 400, None, b"");
+        };
+        if !self.mirror.loaded() || self.types.is_empty() {
+            // Form is judged without knowing the types, but for a job's
+            // types themselves; so only what is surely malformed is told.
+            return match sub.check(&mut self.tables, false) {
+                Err(Refusal::Malformed(_)) => net.respond(conn, 400, None, b""),
+                _ => self.unavailable(net, conn),
+            };
+        }
+        let checked = sub.check(&mut self.tables, false);
+        let id = match (&checked, &sub.name_id) {
+            (Err(Refusal::Malformed(field)), _) => {
+                tracing::debug!(field, "malformed submission");
+                return net.respond(conn, 400, None, b"");
+            }
+            (_, Some(id)) => id.clone(),
+            (_, None) => return net.respond(conn, 400, None, b""),
+        };
+        let now = net.now();
+        if let Some(ix) = self.mirror.find(&id) {
+            if self.is_final(ix) {
+                let word = status_word(self.mirror.get(ix));
+                return self.job_answer(net, conn, 200, &id, word);
+            }
+            return self.barrier.join(now, Waiter::Known { conn, id });
+        }
+        let refusal = match &checked {
+            Err(_) => Some("unknown team"),
+            Ok(spec) if !fits_some_type(spec, &self.types) => Some("fits no machine type"),
+            Ok(spec) => {
+                let limits = self.settings.cluster.teams.get(spec.team.at()).map(|t| {
+                    let max = |x: f64| (x > 0.0).then_some(x);
+                    crate::coordination::model::TeamLimits {
+                        cpus_max: max(t.cpus_max),
+                        gpus_max: max(t.gpus_max),
+                        ..Default::default()
+                    }
+                });
+                (!limits.unwrap_or_default().ever_allows(spec)).then_some("over the team's limit")
+            }
+        };
+        if let Some(why) = refusal {
+            // Never for a job that was accepted: look once more first.
+            return self.barrier.join(now, Waiter::Refuse { conn, id, why });
+        }
+        let chunk = records::chunk_size(self.settings.cluster.state.value_kb);
+        let record = Rc::new(JobRecord { submission: sub, status: Status::Pending, at_ms: wall_ms(), chunk });
+        let v = records::to_value(&*record);
+        if records::json_size(&v) as f64 > self.settings.cluster.state.value_kb * 1024.0 {
+            return net.respond(conn, 400, None, b"");
+        }
+        if let Err(wait) = self
+            .reads
+            .take(now, 1.0, Urgency::Submit)
+            .and_then(|()| self.writes.take(now, 1.0, Urgency::Submit))
+        {
+            return self.over_budget(net, conn, wait);
+        }
+        let key = records::job_key(&id);
+        let txn = Txn {
+            conditions: vec![Condition { key: key.clone(), stamp: 0 }],
+            writes: vec![Op::Put { key, v, permit: None }],
+        };
+        let what = Pending::Submit { conn, id, record };
+        self.ask_state(net, what, "POST", "/multi".into(), cbor::encode(&txn), 2_500);
+    }
+
+    pub fn submitted(&mut self, net: &mut Net, conn: ConnId, id: String, record: &JobRecord, result: Result<Reply, CallError>) {
+        match result {
+            Ok(r) if r.status == 200 => {
+                if let Ok(e) = cbor::decode::<crate::protocol::store::Epoch>(&r.body) {
+                    let v = records::to_value(record);
+                    self.mirror.put(&records::job_key(&id), &v, e.epoch, &mut self.tables);
+                }
+                self.job_answer(net, conn, 201, &id, "pending");
+            }
+            Ok(r) if r.status == 409 => self.barrier.join(net.now(), Waiter::Known { conn, id }),
+            Ok(r) if r.status == 429 => {
+                self.writes.refused(net.now());
+                net.respond(conn, 429, Some(TRY_AGAIN_S), b"");
+            }
+            _ => self.unavailable(net, conn),
+        }
+    }
+
+    // ---- poll ----------------------------------------------------------
+
+    pub fn poll(&mut self, net: &mut Net, conn: ConnId, id: &str) {
+        if !valid_id(id) {
+            return net.respond(conn, 404, None, b"");
+        }
+        match self.mirror.find(id) {
+            Some(ix) if self.is_final(ix) => self.poll_answer(net, conn, ix),
+            _ if !self.mirror.loaded() => self.unavailable(net, conn),
+            _ => self.barrier.join(net.now(), Waiter::Poll { conn, id: id.to_owned() }),
+        }
+    }
+
+    // ---- abort ---------------------------------------------------------
+
+    pub fn abort(&mut self, net: &mut Net, conn: ConnId, id: String, tries: u32) {
+        if !valid_id(&id) {
+            return net.respond(conn, 404, None, b"");
+        }
+        let now = net.now();
+        match self.mirror.find(&id) {
+            Some(ix) if self.is_final(ix) => {
+                let word = status_word(self.mirror.get(ix));
+                self.job_answer(net, conn, 200, &id, word);
+            }
+            Some(ix) => {
+                let e = self.mirror.get(ix);
+                let (Some(record), stamp) = (e.record.clone(), e.stamp) else {
+                    return self.unavailable(net, conn);
+                };
+                if let Err(wait) = self
+                    .reads
+                    .take(now, 1.0, Urgency::Cancel)
+                    .and_then(|()| self.writes.take(now, 1.0, Urgency::Cancel))
+                {
+                    return self.over_budget(net, conn, wait);
+                }
+                let record = Rc::new(JobRecord { status: Status::Cancelled, ..(*record).clone() });
+                let key = records::job_key(&id);
+                let txn = Txn {
+                    conditions: vec![Condition { key: key.clone(), stamp }],
+                    writes: vec![Op::Put { key, v: records::to_value(&*record), permit: None }],
+                };
+                let what = Pending::Abort { conn, id, record, tries };
+                self.ask_state(net, what, "POST", "/multi".into(), cbor::encode(&txn), 2_500);
+            }
+            None if !self.mirror.loaded() => self.unavailable(net, conn),
+            None => self.barrier.join(now, Waiter::Abort { conn, id, tries }),
+        }
+    }
+
+    pub fn aborted(&mut self, net: &mut Net, conn: ConnId, id: String, record: &JobRecord, tries: u32, result: Result<Reply, CallError>) {
+        match result {
+            Ok(r) if r.status == 200 => {
+                if let Ok(e) = cbor::decode::<crate::protocol::store::Epoch>(&r.body) {
+                    let v = records::to_value(record);
+                    self.mirror.put(&records::job_key(&id), &v, e.epoch, &mut self.tables);
+                }
+                self.job_answer(net, conn, 200, &id, "cancelled");
+            }
+            // Done or cancelled meanwhile: read, then decide anew.
+            Ok(r) if r.status == 409 && tries < 3 => {
+                self.barrier.join(net.now(), Waiter::Abort { conn, id, tries: tries + 1 });
+            }
+            Ok(r) if r.status == 429 => {
+                self.writes.refused(net.now());
+                net.respond(conn, 429, Some(TRY_AGAIN_S), b"");
+            }
+            _ => self.unavailable(net, conn),
+        }
+    }
+
+    // ---- the barrier ---------------------------------------------------
+
+    /// The read that these waited for is applied.
+    pub fn serve(&mut self, net: &mut Net, waiters: Vec<Waiter>) {
+        for w in waiters {
+            match w {
+                Waiter::Poll { conn, id } => match self.mirror.find(&id) {
+                    Some(ix) => self.poll_answer(net, conn, ix),
+                    None => net.respond(conn, 404, None, b""),
+                },
+                Waiter::Known { conn, id } => match self.mirror.find(&id) {
+                    Some(ix) => {
+                        let word = status_word(self.mirror.get(ix));
+                        self.job_answer(net, conn, 200, &id, word);
+                    }
+                    None => self.unavailable(net, conn),
+                },
+                Waiter::Refuse { conn, id, why } => match self.mirror.find(&id) {
+                    Some(ix) => {
+                        let word = status_word(self.mirror.get(ix));
+                        self.job_answer(net, conn, 200, &id, word);
+                    }
+                    None => {
+                        tracing::info!(job = &*id, why, "can never run");
+                        net.respond(conn, 422, None, b"");
+                    }
+                },
+                Waiter::Abort { conn, id, tries } => match self.mirror.find(&id) {
+                    Some(_) => self.abort(net, conn, id, tries),
+                    None => net.respond(conn, 404, None, b""),
+                },
+            }
+        }
+    }
+
+    /// No barrier, no answer.
+    pub fn refuse_all(&mut self, net: &mut Net, waiters: Vec<Waiter>) {
+        for w in waiters {
+            self.unavailable(net, w.conn());
+        }
+    }
+}
--- /dev/null
+++ b/src/node/wiring.rs
@@ -0,0 +1,415 @@
+//! The process as a whole: events in, calls out, and which answer belongs to what.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use calloop::EventLoop;
+
+use crate::{
+    bookkeeping::{
+        barrier::Barrier,
+        budget::{Budget, Urgency},
+        mirror::Mirror,
+        records::{self, JobRecord, LeaderRecord},
+    },
+    coordination::{
+        election::{Act, Election},
+        leader::{Config, Leader},
+        model::{MachineIx, Ms, TeamLimits, TypeInfo},
+    },
+    protocol::{cbor, names::Tables, operator::Operator, peers, settings::Settings},
+    transport::{Call, CallError, ConnId, Event, Limits, Net, Reply, Request},
+};
+
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    #[error("event loop: {0}")]
+    Loop(String),
+    #[error("listening on {addr}: {source}")]
+    Listen { addr: SocketAddr, source: io::Error },
+}
+
+/// Who waits for the read barrier.
+#[derive(Debug)]
+pub enum Waiter {
+    Poll { conn: ConnId, id: String },
+    /// A submission of a job that exists.
+    Known { conn: ConnId, id: String },
+    /// A submission that would be refused for good, unless the job exists.
+    Refuse { conn: ConnId, id: String, why: &'static str },
+    Abort { conn: ConnId, id: String, tries: u32 },
+}
+
+impl Waiter {
+    pub fn conn(&self) -> ConnId {
+        match self {
+            Waiter::Poll { conn, .. }
+            | Waiter::Known { conn, .. }
+            | Waiter::Refuse { conn, .. }
+            | Waiter::Abort { conn, .. } => *conn,
+        }
+    }
+}
+
+/// What an answer from outside is for.
+#[derive(Debug)]
+pub enum Pending {
+    Grant,
+    Renew,
+    Claim,
+    Resign,
+    LeaderKey,
+    LeaderWatch,
+    JobsPage { first: bool },
+    JobsWatch,
+    Barrier,
+    Submit { conn: ConnId, id: String, record: Rc<JobRecord> },
+    Abort { conn: ConnId, id: String, record: Rc<JobRecord>, tries: u32 },
+    TasksSync { stamp: u64 },
+    TasksPage { stamp: u64 },
+    Commit { stamp: u64 },
+    Resync { stamp: u64, key: String },
+    Do { stamp: u64, machine: MachineIx, call: u64 },
+    Rent { stamp: u64, call: u64 },
+    Return { stamp: u64, call: u64 },
+    List { stamp: u64, call: u64 },
+    Flavors,
+}
+
+#[derive(Debug)]
+pub struct Peer {
+    pub label: String,
+    pub link: usize,
+    pub heard: Option<Ms>,
+    pub state_age: Ms,
+    pub knocks: u32,
+    pub leading: bool,
+}
+
+/// A read or watch that is kept going: at most one at a time, again after a pause.
+#[derive(Debug, Default)]
+pub struct Loop {
+    pub in_flight: bool,
+    pub after: Ms,
+}
+
+impl Loop {
+    pub fn due(&self, now: Ms) -> bool {
+        !self.in_flight && now >= self.after
+    }
+}
+
+pub struct Node {
+    pub settings: Settings,
+    pub operator: Operator,
+    pub tables: Tables,
+    pub mirror: Mirror,
+    pub barrier: Barrier<Waiter>,
+    pub election: Election,
+    pub leader: Option<Leader>,
+    pub reads: Budget,
+    pub writes: Budget,
+    pub cloud: Budget,
+    pub types: Vec<TypeInfo>,
+    pub peers: Vec<Peer>,
+    pub pending: HashMap<u64, Pending>,
+    pub next_tag: u64,
+    /// When the state service last answered with anything but 503.
+    pub state_ok: Ms,
+    pub state_bad_since: Option<Ms>,
+    pub leader_key: Loop,
+    pub leader_known: bool,
+    pub leader_epoch: u64,
+    pub jobs_page: Loop,
+    pub jobs_from: Option<String>,
+    pub jobs_watch: Loop,
+    pub tasks: Loop,
+    pub tasks_from: Option<String>,
+    pub tasks_synced: bool,
+    pub flavors: Loop,
+    pub resync: Loop,
+    pub knocks: Vec<Ms>,
+    pub next_gossip: Ms,
+    pub nonce: u64,
+    pub budget_leading: Option<bool>,
+}
+
+/// The day's time, in ms.
+pub fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+impl Node {
+    pub fn new(settings: Settings, operator: Operator, net: &mut Net) -> Node {
+        let nonce: u64 = rand::random::<u64>() >> 1;
+        let mut tables = Tables::default();
+        for t in &settings.cluster.teams {
+            tables.teams.intern(&t.name);
+        }
+        for z in &settings.cluster.zones {
+            tables.zones.intern(z);
+        }
+        let peers = settings
+            .seeds
+            .iter()
+            .map(|s| Peer {
+                label: s.label.clone(),
+                link: net.add_link(s.endpoint),
+                heard: None,
+                state_age: Ms::MAX,
+                knocks: 0,
+                leading: false,
+            })
+            .collect();
+        let election = Election::new(&settings.label, nonce, operator.leader_ttl_ms);
+        let (st, cl) = (&settings.cluster.state, &settings.cluster.cloud);
+        Node {
+            reads: Budget::new(st.rps * 0.25, st.rps * 0.3),
+            writes: Budget::new(st.write_rps * 0.25, st.write_rps * 0.5),
+            cloud: Budget::new(cl.rps * 0.9, cl.rps * 1.5),
+            tables,
+            mirror: Mirror::default(),
+            barrier: Barrier::default(),
+            election,
+            leader: None,
+            types: Vec::new(),
+            peers,
+            pending: HashMap::new(),
+            next_tag: 1,
+            state_ok: 0,
+            state_bad_since: None,
+            leader_key: Loop::default(),
+            leader_known: false,
+            leader_epoch: 0,
+            jobs_page: Loop::default(),
+            jobs_from: None,
+            jobs_watch: Loop::default(),
+            tasks: Loop::default(),
+            tasks_from: None,
+            tasks_synced: false,
+            flavors: Loop::default(),
+            resync: Loop::default(),
+            knocks: Vec::new(),
+            next_gossip: 0,
+            nonce,
+            budget_leading: None,
+            settings,
+            operator,
+        }
+    }
+
+    pub fn leader_config(&mut self) -> Config {
+        let c = &self.settings.cluster;
+        let set = |x: f64| (x > 0.0).then_some(x);
+        let report_ms = (c.workers.report_s * 1000.0) as Ms;
+        let start_within = c
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "wait")
+            .filter_map(|o| Some((self.tables.classes.intern(o.class.as_deref()?), o.within_s?)))
+            .collect();
+        Config {
+            lease_ms: (c.workers.lease_s * 1000.0) as Ms,
+            report_ms,
+            gang_peer_s: c.workers.gang_peer_s,
+            txn_ops: c.state.txn_ops,
+            list_lag_ms: (c.cloud.list_lag_s * 1000.0) as Ms,
+            teams: c
+                .teams
+                .iter()
+                .map(|t| TeamLimits {
+                    cpus: set(t.cpus),
+                    gpus: set(t.gpus),
+                    cpus_max: set(t.cpus_max),
+                    gpus_max: set(t.gpus_max),
+                })
+                .collect(),
+            start_within,
+            idle_keep_ms: (self.operator.idle_keep_s * 1000.0) as Ms,
+            silent_ms: self.operator.silent_return_s.map_or(report_ms * 2 + 2_500, |s| (s * 1000.0) as Ms),
+            max_machines: self.operator.max_machines.unwrap_or(usize::MAX),
+            use_spot: self.operator.use_spot,
+        }
+    }
+
+    // ---- calls ---------------------------------------------------------
+
+    pub fn send(&mut self, net: &mut Net, dest: SocketAddr, what: Pending, method: &'static str, path: String, body: Vec<u8>, timeout_ms: u64) {
+        let tag = self.next_tag;
+        self.next_tag += 1;
+        self.pending.insert(tag, what);
+        net.call(Call { dest, method, path, body, timeout_ms, tag });
+    }
+
+    pub fn ask_state(&mut self, net: &mut Net, what: Pending, method: &'static str, path: String, body: Vec<u8>, timeout_ms: u64) {
+        let dest = self.settings.outside.state;
+        self.send(net, dest, what, method, path, body, timeout_ms);
+    }
+
+    pub fn ask_cloud(&mut self, net: &mut Net, what: Pending, method: &'static str, path: String, body: Vec<u8>) {
+        let dest = self.settings.outside.cloud;
+        self.send(net, dest, what, method, path, body, 4_000);
+    }
+
+    pub fn act(&mut self, net: &mut Net, act: Act) {
+        let now = net.now();
+        let _ = self.reads.take(now, 1.0, Urgency::Lease);
+        match act {
+            Act::Grant => {
+                let body = cbor::encode(&crate::protocol::store::GrantRequest { ttl_ms: self.election.ttl_ms() });
+                self.ask_state(net, Pending::Grant, "POST", "/grants".into(), body, 1_500);
+            }
+            Act::Renew(p) => {
+                self.ask_state(net, Pending::Renew, "POST", format!("/grants/{p}/renew"), Vec::new(), 700);
+            }
+            Act::Claim { permit, expect } => {
+                use crate::protocol::store::{Condition, Op, Txn};
+                let rec = LeaderRecord { label: self.settings.label.clone(), nonce: self.nonce };
+                let txn = Txn {
+                    conditions: vec![Condition { key: records::LEADER.into(), stamp: expect }],
+                    writes: vec![Op::Put {
+                        key: records::LEADER.into(),
+                        v: records::to_value(&rec),
+                        permit: Some(permit),
+                    }],
+                };
+                let _ = self.writes.take(now, 1.0, Urgency::Lease);
+                self.ask_state(net, Pending::Claim, "POST", "/multi".into(), cbor::encode(&txn), 1_500);
+            }
+            Act::Resign(p) => {
+                self.ask_state(net, Pending::Resign, "DELETE", format!("/grants/{p}"), Vec::new(), 1_500);
+            }
+        }
+    }
+
+    // ---- events --------------------------------------------------------
+
+    pub fn handle(&mut self, net: &mut Net, event: Event) {
+        match event {
+            Event::Request { conn, req } => self.request(net, conn, req),
+            Event::Frame { bytes } => self.frame(net, &bytes),
+            Event::Reply { tag, result } => {
+                if let Some(what) = self.pending.remove(&tag) {
+                    self.reply(net, what, result);
+                }
+            }
+        }
+    }
+
+    fn request(&mut self, net: &mut Net, conn: ConnId, req: Request) {
+        let path = req.path.split('?').next().unwrap_or("");
+        let method = req.method.as_str();
+        if path == "/checkin" {
+            return match method {
+                "POST" => self.checkin(net, conn, &req.body),
+                _ => net.respond(conn, 405, None, b""),
+            };
+        }
+        if path == "/ready" {
+            return match method {
+                "GET" | "HEAD" => {
+                    let status = if self.is_ready(net.now()) { 200 } else { 503 };
+                    net.respond(conn, status, None, b"");
+                }
+                _ => net.respond(conn, 405, None, b""),
+            };
+        }
+        if path == "/api/jobs" {
+            return match method {
+                "POST" => self.submit(net, conn, &req.body),
+                _ => net.respond(conn, 405, None, b""),
+            };
+        }
+        if let Some(rest) = path.strip_prefix("/api/jobs/") {
+            return match (rest.strip_suffix("/abort"), method) {
+                (Some(id), "POST") => self.abort(net, conn, id.to_owned(), 0),
+                (Some(_), _) => net.respond(conn, 405, None, b""),
+                (None, _) if rest.contains('/') => net.respond(conn, 404, None, b""),
+                (None, "GET") => self.poll(net, conn, rest),
+                (None, _) => net.respond(conn, 405, None, b""),
+            };
+        }
+        net.respond(conn, 404, None, b"");
+    }
+
+    /// Keeps count of whether the state service serves this controller.
+    pub fn state_answered(&mut self, now: Ms, result: &Result<Reply, CallError>) {
+        match result {
+            Ok(r) if r.status == 503 => {
+                self.state_bad_since.get_or_insert(now);
+            }
+            Ok(r) => {
+                if r.status == 429 {
+                    self.reads.refused(now);
+                }
+                self.state_ok = now;
+                self.state_bad_since = None;
+            }
+            Err(_) => {
+                self.state_bad_since.get_or_insert(now);
+            }
+        }
+    }
+
+    fn frame(&mut self, net: &mut Net, bytes: &[u8]) {
+        let Some(g) = peers::decode(bytes) else {
+            tracing::debug!("a frame that can't be read");
+            return;
+        };
+        let now = net.now();
+        let Some(p) = self.peers.iter_mut().find(|p| p.label == g.from) else { return };
+        p.heard = Some(now);
+        p.state_age = g.state_age_ms;
+        p.knocks = g.knocks;
+        p.leading = g.leading;
+        for c in g.counts {
+            self.mirror.show(&c.job, c.done, c.running);
+        }
+    }
+
+    /// Ready: able to serve users. In an outage of the state service that hits
+    /// all, controllers stay ready, so that no connection is lost; one that is
+    /// alone in being refused, or sees nobody at all, is not.
+    pub fn is_ready(&self, now: Ms) -> bool {
+        if !self.mirror.loaded() || self.types.is_empty() {
+            return false;
+        }
+        let Some(since) = self.state_bad_since else { return true };
+        if now < since + 2_500 {
+            return true;
+        }
+        let fresh = |p: &&Peer| p.heard.is_some_and(|h| now < h + 2_500);
+        let mut seen = self.peers.iter().filter(fresh).peekable();
+        if seen.peek().is_none() {
+            return self.peers.is_empty();
+        }
+        // A peer that was served well after we last were shows that it's us.
+        !seen.any(|p| p.state_age + 1_500 < now.saturating_sub(since))
+    }
+}
+
+/// Runs one controller until the process ends.
+pub fn run(settings: Settings, operator: Operator) -> Result<(), NodeError> {
+    let mut event_loop: EventLoop<'static, Net> =
+        EventLoop::try_new().map_err(|e| NodeError::Loop(e.to_string()))?;
+    let limits = Limits { sockets: settings.cluster.limits.sockets, idle_ms: 75_000, head_ms: 5_000 };
+    let mut net = Net::new(&event_loop, limits);
+    for (addr, frames) in [(settings.client_listen, false), (settings.cluster_listen, true)] {
+        net.listen(addr, frames).map_err(|source| NodeError::Listen { addr, source })?;
+    }
+    tracing::info!(label = &*settings.label, zone = &*settings.domain, "started");
+    let mut node = Node::new(settings, operator, &mut net);
+    loop {
+        node.tick(&mut net);
+        let wait = node.wait_ms(net.now());
+        net.turn(&mut event_loop, Duration::from_millis(wait)).map_err(|e| NodeError::Loop(e.to_string()))?;
+        while let Some(event) = net.pop() {
+            node.handle(&mut net, event);
+        }
+    }
+}
