--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -111,11 +111,7 @@
 }
 
 pub fn is_done(packed: &str, n: usize) -> bool {
-    packed
-        .as_bytes()
-        .get(n / 4)
-        .and_then(|&b| char::from(b).to_digit(16))
-        .is_some_and(|d| d >> (n % 4) & 1 == 1)
+    packed.as_bytes().get(n / 4).and_then(|&b| char::from(b).to_digit(16)).is_some_and(|d| d >> (n % 4) & 1 == 1)
 }
 
 pub fn to_value<T: Serialize>(v: &T) -> Value {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -317,7 +317,14 @@
 
     fn send_rent(&mut self, offer: Offer, req: RentRequest) {
         let call = self.call_id();
-        tracing::info!(ask = &*req.request, machine_type = &*req.machine_type, zone = &*req.zone, spot = req.spot, count = req.count, "renting");
+        tracing::info!(
+            ask = &*req.request,
+            machine_type = &*req.machine_type,
+            zone = &*req.zone,
+            spot = req.spot,
+            count = req.count,
+            "renting"
+        );
         self.fleet.calls.insert(call, Call::Rent { offer, req: req.clone() });
         self.effects.push(Effect::Rent { call, req });
     }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -436,10 +436,7 @@
     }
 
     pub fn in_flight_launch(&self, p: &Place) -> bool {
-        self.machines[p.machine.at()]
-            .call
-            .as_ref()
-            .is_some_and(|c| c.launches.contains(&(p.job, p.task, p.attempt)))
+        self.machines[p.machine.at()].call.as_ref().is_some_and(|c| c.launches.contains(&(p.job, p.task, p.attempt)))
     }
 
     /// The record of this place is written.
@@ -579,12 +576,8 @@
             self.free_place(p, false);
         }
         // Those still wanted are launched again under the same attempt.
-        let again: Vec<PlaceIx> = self.machines[ix.at()]
-            .places
-            .iter()
-            .copied()
-            .filter(|p| !listed.contains(p))
-            .collect();
+        let again: Vec<PlaceIx> =
+            self.machines[ix.at()].places.iter().copied().filter(|p| !listed.contains(p)).collect();
         for p in again {
             if let Some(p) = self.places[p.at()].as_mut() {
                 if matches!(p.state, PlaceState::Seen(_)) {
@@ -661,7 +654,12 @@
             }
             return;
         }
-        tracing::warn!(task = &*t.task, attempt = t.attempt, machine = &*self.machine(ix).id, "stray task, stopping it");
+        tracing::warn!(
+            task = &*t.task,
+            attempt = t.attempt,
+            machine = &*self.machine(ix).id,
+            "stray task, stopping it"
+        );
         let m = &mut self.machines[ix.at()];
         // A tomb for a live task: halted until it ends, then reaped.
         if !m.tombs.iter().any(|x| x.task == t.task && x.attempt == t.attempt) {
@@ -890,9 +888,10 @@
                 .filter_map(|o| match o {
                     Order::Launch { task, attempt } => {
                         let (_, n) = split_task(task)?;
-                        let p = self.machines[ix.at()].places.iter().find(|&&p| {
-                            self.place(p).is_some_and(|p| p.task == n && p.attempt == *attempt)
-                        })?;
+                        let p = self.machines[ix.at()]
+                            .places
+                            .iter()
+                            .find(|&&p| self.place(p).is_some_and(|p| p.task == n && p.attempt == *attempt))?;
                         self.place(*p).map(|p| (p.job, n, *attempt))
                     }
                     _ => None,
@@ -970,7 +969,16 @@
     // ---- records -------------------------------------------------------
 
     /// A chunk record read at the beginning.
-    pub fn load(&mut self, now: Ms, wall_ms: u64, key: &str, v: &Value, stamp: u64, mirror: &Mirror, tables: &mut Tables) {
+    pub fn load(
+        &mut self,
+        now: Ms,
+        wall_ms: u64,
+        key: &str,
+        v: &Value,
+        stamp: u64,
+        mirror: &Mirror,
+        tables: &mut Tables,
+    ) {
         let Some((id, chunk)) = records::split_chunk_key(key) else { return };
         let Some(ix) = mirror.find(id) else { return };
         let e = mirror.get(ix);
@@ -1206,8 +1214,12 @@
                 }
                 for key in &failed {
                     if let Some(id) = key.strip_prefix(records::JOBS) {
-                        let stale: Vec<JobIx> =
-                            self.active.iter().copied().filter(|&j| self.job(j).is_some_and(|j| &*j.id == id)).collect();
+                        let stale: Vec<JobIx> = self
+                            .active
+                            .iter()
+                            .copied()
+                            .filter(|&j| self.job(j).is_some_and(|j| &*j.id == id))
+                            .collect();
                         for ix in stale {
                             if let Some(j) = self.job_mut(ix) {
                                 j.stale = true;
@@ -1218,8 +1230,7 @@
                 let tasks: Vec<String> = failed.into_iter().filter(|k| k.starts_with(records::TASKS)).collect();
                 // Keys to be dropped that changed or are gone need no second look:
                 // whoever leads next drops what is left of a job that is over.
-                let (lost, resync): (Vec<String>, Vec<String>) =
-                    tasks.into_iter().partition(|k| f.drops.contains(k));
+                let (lost, resync): (Vec<String>, Vec<String>) = tasks.into_iter().partition(|k| f.drops.contains(k));
                 f.drops.retain(|k| !lost.contains(k));
                 if resync.is_empty() {
                     self.give_back(f);
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -355,9 +355,7 @@
 /// Can one task of this job ever run on some machine that may be rented?
 pub fn fits_some_type(spec: &JobSpec, types: &[TypeInfo]) -> bool {
     types.iter().any(|t| {
-        spec.allows_type(t.ix)
-            && Res::of(spec).fits_in(&t.cap)
-            && spec.zone.is_none_or(|z| t.zones.contains(&z))
+        spec.allows_type(t.ix) && Res::of(spec).fits_in(&t.cap) && spec.zone.is_none_or(|z| t.zones.contains(&z))
     })
 }
 
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -114,10 +114,7 @@
                 None => need <= EPS,
             };
             let cpus_fit = limits.cpus.is_none_or(|g| sum.cpus <= g + EPS);
-            if cpus_fit
-                && within(limits.gpus, sum.gpus, j.spec.gpus)
-                && (j.spec.gpus > 0.0 || limits.cpus.is_some())
-            {
+            if cpus_fit && within(limits.gpus, sum.gpus, j.spec.gpus) && (j.spec.gpus > 0.0 || limits.cpus.is_some()) {
                 guaranteed.push(j.ix);
             }
         }
@@ -154,7 +151,9 @@
         for ix in order {
             let Some(job) = self.job(ix) else { continue };
             let spec = job.spec.clone();
-            let room = self.team_limits(spec.team).room_for(&spec, &ledger.used.get(spec.team.at()).copied().unwrap_or_default());
+            let room = self
+                .team_limits(spec.team)
+                .room_for(&spec, &ledger.used.get(spec.team.at()).copied().unwrap_or_default());
             let n = job.pending.len().min(room as usize).min(TASKS_A_PASS.max(gang_size(job)));
             let gang = spec.kind == Kind::Gang;
             if n == 0 || (gang && n < job.pending.len()) {
@@ -166,11 +165,7 @@
             let avoid = self.avoided(job);
             let ask = Ask { spec: &spec, tasks: &tasks, min, zone_used: &zone_used, avoid: &avoid };
             let hopeless = failed.iter().any(|f| at_least_as_hard(&spec, f));
-            let out = if hopeless {
-                None
-            } else {
-                Some(picture.trial(&ask)).filter(|o| o.verdict == Verdict::Success)
-            };
+            let out = if hopeless { None } else { Some(picture.trial(&ask)).filter(|o| o.verdict == Verdict::Success) };
             let placed = out.as_ref().map_or(0, |o| o.picks.len());
             if let Some(out) = out {
                 let attempt = self.next_attempt();
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -46,11 +46,8 @@
             return None;
         }
         let ran = place.running_since.map_or(0.0, |s| (now - s) as f64 / 1000.0);
-        let lost = if job.spec.checkpoint_s > 0.0 {
-            ran.min(job.spec.checkpoint_s).min(job.spec.save_s + 2.0)
-        } else {
-            ran
-        };
+        let lost =
+            if job.spec.checkpoint_s > 0.0 { ran.min(job.spec.checkpoint_s).min(job.spec.save_s + 2.0) } else { ran };
         let rank = match job.spec.priority {
             Priority::Low => 0.0,
             Priority::Normal => 20.0,
@@ -153,7 +150,8 @@
                 Some(j) => (place.job, j.spec.kind == Kind::Gang),
                 None => continue,
             };
-            let save = self.job(vjob).map_or(0.0, |j| if j.spec.checkpoint_s > 0.0 { j.spec.save_s + 2.0 } else { 0.0 });
+            let save =
+                self.job(vjob).map_or(0.0, |j| if j.spec.checkpoint_s > 0.0 { j.spec.save_s + 2.0 } else { 0.0 });
             let grace = if urgent { 0.0 } else { save };
             stopped += 1;
             if gang {
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -485,7 +485,11 @@
         let now = net.now();
         let outside = matches!(
             what,
-            Pending::Do { .. } | Pending::Rent { .. } | Pending::Return { .. } | Pending::List { .. } | Pending::Flavors
+            Pending::Do { .. }
+                | Pending::Rent { .. }
+                | Pending::Return { .. }
+                | Pending::List { .. }
+                | Pending::Flavors
         );
         if !outside {
             self.state_answered(now, &result);
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -109,10 +109,8 @@
         if records::json_size(&v) as f64 > self.settings.cluster.state.value_kb * 1024.0 {
             return net.respond(conn, 400, None, b"");
         }
-        if let Err(wait) = self
-            .reads
-            .take(now, 1.0, Urgency::Submit)
-            .and_then(|()| self.writes.take(now, 1.0, Urgency::Submit))
+        if let Err(wait) =
+            self.reads.take(now, 1.0, Urgency::Submit).and_then(|()| self.writes.take(now, 1.0, Urgency::Submit))
         {
             return self.over_budget(net, conn, wait);
         }
@@ -125,7 +123,14 @@
         self.ask_state(net, what, "POST", "/multi".into(), cbor::encode(&txn), 2_500);
     }
 
-    pub fn submitted(&mut self, net: &mut Net, conn: ConnId, id: String, record: &JobRecord, result: Result<Reply, CallError>) {
+    pub fn submitted(
+        &mut self,
+        net: &mut Net,
+        conn: ConnId,
+        id: String,
+        record: &JobRecord,
+        result: Result<Reply, CallError>,
+    ) {
         match result {
             Ok(r) if r.status == 200 => {
                 if let Ok(e) = cbor::decode::<crate::protocol::store::Epoch>(&r.body) {
@@ -194,7 +199,15 @@
         }
     }
 
-    pub fn aborted(&mut self, net: &mut Net, conn: ConnId, id: String, record: &JobRecord, tries: u32, result: Result<Reply, CallError>) {
+    pub fn aborted(
+        &mut self,
+        net: &mut Net,
+        conn: ConnId,
+        id: String,
+        record: &JobRecord,
+        tries: u32,
+        result: Result<Reply, CallError>,
+    ) {
         match result {
             Ok(r) if r.status == 200 => {
                 if let Ok(e) = cbor::decode::<crate::protocol::store::Epoch>(&r.body) {
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -37,12 +37,26 @@
 /// Who waits for the read barrier.
 #[derive(Debug)]
 pub enum Waiter {
-    Poll { conn: ConnId, id: String },
+    Poll {
+        conn: ConnId,
+        id: String,
+    },
     /// A submission of a job that exists.
-    Known { conn: ConnId, id: String },
+    Known {
+        conn: ConnId,
+        id: String,
+    },
     /// A submission that would be refused for good, unless the job exists.
-    Refuse { conn: ConnId, id: String, why: &'static str },
-    Abort { conn: ConnId, id: String, tries: u32 },
+    Refuse {
+        conn: ConnId,
+        id: String,
+        why: &'static str,
+    },
+    Abort {
+        conn: ConnId,
+        id: String,
+        tries: u32,
+    },
 }
 
 impl Waiter {
@@ -239,14 +253,31 @@
 
     // ---- calls ---------------------------------------------------------
 
-    pub fn send(&mut self, net: &mut Net, dest: SocketAddr, what: Pending, method: &'static str, path: String, body: Vec<u8>, timeout_ms: u64) {
+    pub fn send(
+        &mut self,
+        net: &mut Net,
+        dest: SocketAddr,
+        what: Pending,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+    ) {
         let tag = self.next_tag;
         self.next_tag += 1;
         self.pending.insert(tag, what);
         net.call(Call { dest, method, path, body, timeout_ms, tag });
     }
 
-    pub fn ask_state(&mut self, net: &mut Net, what: Pending, method: &'static str, path: String, body: Vec<u8>, timeout_ms: u64) {
+    pub fn ask_state(
+        &mut self,
+        net: &mut Net,
+        what: Pending,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+    ) {
         let dest = self.settings.outside.state;
         self.send(net, dest, what, method, path, body, timeout_ms);
     }
@@ -395,8 +426,7 @@
 
 /// Runs one controller until the process ends.
 pub fn run(settings: Settings, operator: Operator) -> Result<(), NodeError> {
-    let mut event_loop: EventLoop<'static, Net> =
-        EventLoop::try_new().map_err(|e| NodeError::Loop(e.to_string()))?;
+    let mut event_loop: EventLoop<'static, Net> = EventLoop::try_new().map_err(|e| NodeError::Loop(e.to_string()))?;
     let limits = Limits { sockets: settings.cluster.limits.sockets, idle_ms: 75_000, head_ms: 5_000 };
     let mut net = Net::new(&event_loop, limits);
     for (addr, frames) in [(settings.client_listen, false), (settings.cluster_listen, true)] {
--- a/src/protocol/cloud.rs
+++ b/src/protocol/cloud.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::cbor::number;
+
 #[derive(Debug, Clone, Deserialize)]
 pub struct Flavors {
     #[serde(rename = "breeds")]
@@ -12,19 +14,27 @@
 #[serde(rename_all = "camelCase")]
 pub struct Flavor {
     pub name: String,
+    #[serde(deserialize_with = "number")]
     pub cpus: f64,
     #[serde(rename = "cards", default)]
+    #[serde(deserialize_with = "number")]
     pub gpus: f64,
+    #[serde(deserialize_with = "number")]
     pub memory_gb: f64,
     #[serde(rename = "localGb", default)]
+    #[serde(deserialize_with = "number")]
     pub cache_gb: f64,
     #[serde(rename = "pullGbPerS", default)]
+    #[serde(deserialize_with = "number")]
     pub fetch_gb_per_s: f64,
     #[serde(default)]
+    #[serde(deserialize_with = "number")]
     pub price: f64,
     #[serde(default)]
+    #[serde(deserialize_with = "number")]
     pub spot_price: f64,
     #[serde(rename = "readyS", default)]
+    #[serde(deserialize_with = "number")]
     pub boot_s: f64,
     #[serde(rename = "yards", default)]
     pub zones: Vec<String>,
@@ -71,6 +81,7 @@
     #[serde(rename = "status")]
     pub state: HostState,
     #[serde(rename = "heldS", default)]
+    #[serde(deserialize_with = "number")]
     pub age_s: f64,
 }
 
--- a/src/protocol/jobs.rs
+++ b/src/protocol/jobs.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::cbor::maybe_number;
 use super::names::{ClassIx, ImageIx, Tables, TeamIx, TypeIx, ZoneIx};
 
 pub const MAX_TASKS: u32 = 100_000;
@@ -20,13 +21,18 @@
     #[serde(rename = "rank")]
     pub priority: Option<String>,
     #[serde(rename = "pieces")]
+    #[serde(deserialize_with = "maybe_number")]
     pub tasks: Option<f64>,
+    #[serde(deserialize_with = "maybe_number")]
     pub cpus: Option<f64>,
     #[serde(rename = "cards")]
+    #[serde(deserialize_with = "maybe_number")]
     pub gpus: Option<f64>,
+    #[serde(deserialize_with = "maybe_number")]
     pub memory_gb: Option<f64>,
     #[serde(rename = "bundle")]
     pub image: Option<String>,
+    #[serde(deserialize_with = "maybe_number")]
     pub image_gb: Option<f64>,
     #[serde(rename = "breeds", skip_serializing_if = "Option::is_none")]
     pub types: Option<Vec<String>>,
@@ -39,12 +45,16 @@
     #[serde(rename = "loaners")]
     pub spot: Option<bool>,
     #[serde(rename = "guessS")]
+    #[serde(deserialize_with = "maybe_number")]
     pub estimate_s: Option<f64>,
     #[serde(rename = "bookmarkS")]
+    #[serde(deserialize_with = "maybe_number")]
     pub checkpoint_s: Option<f64>,
     #[serde(rename = "stashS")]
+    #[serde(deserialize_with = "maybe_number")]
     pub save_s: Option<f64>,
     #[serde(rename = "dueS", skip_serializing_if = "Option::is_none")]
+    #[serde(deserialize_with = "maybe_number")]
     pub deadline_s: Option<f64>,
 }
 
--- a/src/protocol/operator.rs
+++ b/src/protocol/operator.rs
@@ -16,13 +16,7 @@
 
 impl Default for Operator {
     fn default() -> Self {
-        Operator {
-            leader_ttl_ms: 4_000,
-            idle_keep_s: 45.0,
-            silent_return_s: None,
-            max_machines: None,
-            use_spot: true,
-        }
+        Operator { leader_ttl_ms: 4_000, idle_keep_s: 45.0, silent_return_s: None, max_machines: None, use_spot: true }
     }
 }
 
@@ -37,8 +31,7 @@
 impl Operator {
     pub fn load(path: &Path) -> Result<Operator, OperatorError> {
         let shown = path.display().to_string();
-        let text = fs::read_to_string(path)
-            .map_err(|source| OperatorError::Read { path: shown.clone(), source })?;
+        let text = fs::read_to_string(path).map_err(|source| OperatorError::Read { path: shown.clone(), source })?;
         Operator::parse(&text).map_err(|message| OperatorError::Form { path: shown, message })
     }
 
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -115,8 +115,7 @@
 impl Settings {
     pub fn load(path: &Path) -> Result<Settings, SettingsError> {
         let shown = path.display().to_string();
-        let text = fs::read_to_string(path)
-            .map_err(|source| SettingsError::Read { path: shown.clone(), source })?;
+        let text = fs::read_to_string(path).map_err(|source| SettingsError::Read { path: shown.clone(), source })?;
         Settings::parse(&text, &shown)
     }
 
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::cbor::maybe_number;
+
 #[derive(Debug, Clone, Deserialize, Serialize, PartialEq)]
 pub struct Report {
     #[serde(rename = "host")]
@@ -20,7 +22,7 @@
     pub seq: u64,
     #[serde(rename = "baton", default)]
     pub token: u64,
-    #[serde(rename = "warningS", default)]
+    #[serde(rename = "warningS", default, deserialize_with = "maybe_number")]
     pub notice_s: Option<f64>,
     #[serde(rename = "pieces", default)]
     pub tasks: Vec<TaskReport>,
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -92,12 +92,7 @@
 }
 
 /// Takes the body that starts at `at`. None: more bytes are needed.
-fn take_body(
-    buf: &[u8],
-    at: usize,
-    facts: &HeadFacts,
-    max: usize,
-) -> Result<Option<(Vec<u8>, usize)>, HttpError> {
+fn take_body(buf: &[u8], at: usize, facts: &HeadFacts, max: usize) -> Result<Option<(Vec<u8>, usize)>, HttpError> {
     if facts.chunked {
         return take_chunked(buf, at, max);
     }
--- a/src/transport/net.rs
+++ b/src/transport/net.rs
@@ -400,12 +400,8 @@
     fn dial(dest: SocketAddr) -> io::Result<TcpStream> {
         use rustix::net::{connect, socket_with, AddressFamily, SocketFlags, SocketType};
         let SocketAddr::V4(v4) = dest else { return Err(io::ErrorKind::Unsupported.into()) };
-        let fd: OwnedFd = socket_with(
-            AddressFamily::INET,
-            SocketType::STREAM,
-            SocketFlags::NONBLOCK | SocketFlags::CLOEXEC,
-            None,
-        )?;
+        let fd: OwnedFd =
+            socket_with(AddressFamily::INET, SocketType::STREAM, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC, None)?;
         match connect(&fd, &SocketAddrV4::new(*v4.ip(), v4.port())) {
             Ok(()) | Err(rustix::io::Errno::INPROGRESS) => {}
             Err(e) => return Err(e.into()),
@@ -452,9 +448,7 @@
                 let dest = l.dest;
                 self.links[link].retry_at = now + LINK_RETRY_MS;
                 let role = Role::FramesOut { link };
-                let Some(id) =
-                    Net::dial(dest).ok().and_then(|s| self.register(s, role, true, now + CONNECT_MS))
-                else {
+                let Some(id) = Net::dial(dest).ok().and_then(|s| self.register(s, role, true, now + CONNECT_MS)) else {
                     return;
                 };
                 self.links[link].conn = Some(id);
