--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -969,6 +969,7 @@
     // ---- records -------------------------------------------------------
 
     /// A chunk record read at the beginning.
+    #[allow(clippy::too_many_arguments)]
     pub fn load(
         &mut self,
         now: Ms,
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -253,6 +253,7 @@
 
     // ---- calls ---------------------------------------------------------
 
+    #[allow(clippy::too_many_arguments)]
     pub fn send(
         &mut self,
         net: &mut Net,
