--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -10,17 +10,17 @@
     bookkeeping::mirror::JobIx,
     protocol::{
         cloud::{HostList, HostState, RentRequest},
-        jobs::JobSpec,
+        jobs::{JobSpec, Kind, Priority},
         names::{Tables, TypeIx, ZoneIx},
     },
 };
 
-const THINK_MS: Ms = 400;
+const THINK_MS: Ms = 250;
 const LIST_MS: Ms = 2_500;
 const RETURN_MS: Ms = 400;
 const REFUSED_MS: Ms = 6_000;
 const REFUSED_MAX_MS: Ms = 25_000;
-const RENTS_A_STEP: usize = 3;
+const RENTS_A_STEP: usize = 4;
 
 type Offer = (TypeIx, ZoneIx, bool);
 
@@ -244,8 +244,10 @@
                 self.fleet.again.push((offer, req, at));
             }
         }
-        // Without a list, what is already there isn't known.
-        if !self.fleet.listed_once || now < self.started + 1_500 {
+        // Without a list, what is already there isn't known; and where there
+        // are machines, they get time to report first.
+        let settle = if self.machines.is_empty() { 0 } else { 1_500 };
+        if !self.fleet.listed_once || now < self.started + settle {
             return;
         }
         let mut coming = self.coming(now);
@@ -270,6 +272,11 @@
                 }
             }
             let waited_s = (now as i64 - job.waiting_since as i64) as f64 / 1000.0;
+            // Boot times vary widely: for replicas more room is ordered than
+            // they need, so that those that come up first hold them all. Others'
+            // work takes what is left over.
+            let spare = if spec.kind == Kind::Service { left.div_ceil(2) } else { 0 };
+            left += spare;
             let mut tries = 0;
             while left > 0 && tries < 6 && total < self.cfg.max_machines {
                 tries += 1;
@@ -405,8 +412,15 @@
             }
         }
         let (cost, offer, per) = best?;
-        // Much dearer than the cheapest kind: only for work that has waited.
-        (cost <= cheapest * (1.6 + waited_s / 12.0)).then_some((offer, per))
+        // Much dearer than the cheapest kind: only for urgent work, or work
+        // that has waited.
+        let urgency = match spec.priority {
+            Priority::Production => 5.0,
+            Priority::High => 3.0,
+            Priority::Normal => 1.8,
+            Priority::Low => 1.5,
+        };
+        (cost <= cheapest * (urgency + waited_s / 12.0)).then_some((offer, per))
     }
 
     pub fn rented(&mut self, now: Ms, call: u64, outcome: RentOutcome) {
