--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -275,7 +275,7 @@
             // Boot times vary widely: for replicas more room is ordered than
             // they need, so that those that come up first hold them all. Others'
             // work takes what is left over.
-            let spare = if spec.kind == Kind::Service { left.div_ceil(2) } else { 0 };
+            let spare = if spec.kind == Kind::Service { left } else { 0 };
             left += spare;
             let mut tries = 0;
             while left > 0 && tries < 6 && total < self.cfg.max_machines {
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -683,7 +683,7 @@
         }
         let was = p.state;
         p.state = PlaceState::Seen(t.state);
-        let now_running = t.state == TaskState::Running;
+        let (now_running, made) = (t.state == TaskState::Running, p.made);
         if was == p.state {
             return;
         }
@@ -693,7 +693,14 @@
         let was_running = was == PlaceState::Seen(TaskState::Running);
         if let Some(job) = self.jobs[job_ix.at()].as_mut() {
             match (was_running, now_running) {
-                (false, true) => job.running += 1,
+                (false, true) => {
+                    job.running += 1;
+                    if job.running + job.done == 1 {
+                        let wait_s = job.age_s(now);
+                        let fetched_s = (now - made) as f64 / 1000.0;
+                        tracing::info!(job = &*job.id, kind = ?job.spec.kind, rank = ?job.spec.priority, wait_s, fetched_s, gb = job.spec.image_gb, "first task runs");
+                    }
+                }
                 (true, false) => job.running = job.running.saturating_sub(1),
                 _ => {}
             }
