--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -118,6 +118,8 @@
     pub effects: Vec<Effect>,
     counts: HashSet<JobIx>,
     pub heard_any: Ms,
+    /// Shapes of GPU work seen lately, and when.
+    pub gpu_shapes: Vec<(Rc<JobSpec>, Ms)>,
     /// Observed run time against the owner's estimate, by class, smoothed.
     pub class_bias: HashMap<ClassIx, (f64, f64)>,
 }
@@ -154,6 +156,7 @@
             effects: Vec::new(),
             counts: HashSet::new(),
             heard_any: now,
+            gpu_shapes: Vec::new(),
             class_bias: HashMap::new(),
         }
     }
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -21,6 +21,14 @@
 /// How long work of normal priority waits before others' work is stopped for it.
 const PATIENCE_MS: i64 = 10_000;
 
+/// Replicas are expected at the rate of this long before.
+const HEADROOM_WINDOW_S: f64 = 120.0;
+/// Room is kept for as many as arrive in this time.
+const HEADROOM_S: f64 = 30.0;
+const HEADROOM_MOST: usize = 4;
+/// GPU work is expected again for this long after it was last there.
+const GPU_SHAPE_MS: Ms = 900_000;
+
 /// What a pass knows beside the picture.
 pub struct Ledger {
     /// In use by team.
@@ -36,6 +44,33 @@
         self.cfg.teams.get(team.at()).copied().unwrap_or_default()
     }
 
+    /// What GPU work of the last minutes asked for, each shape once.
+    fn note_gpu_shapes(&mut self, now: Ms) {
+        let mut shapes = std::mem::take(&mut self.gpu_shapes);
+        shapes.retain(|(_, seen)| now < seen + GPU_SHAPE_MS);
+        for job in self.active.iter().filter_map(|&j| self.job(j)).filter(|j| j.spec.gpus > 0.0) {
+            let same = |(s, _): &(Rc<JobSpec>, Ms)| Res::of(s) == Res::of(&job.spec) && s.types == job.spec.types;
+            match shapes.iter().position(same) {
+                Some(n) => shapes[n].1 = now,
+                None if shapes.len() < 32 => shapes.push((job.spec.clone(), now)),
+                None => {}
+            }
+        }
+        self.gpu_shapes = shapes;
+    }
+
+    fn guard_of(&self, t: &TypeInfo, spot: bool) -> Option<Res> {
+        let mut guard: Option<Res> = None;
+        for (s, _) in &self.gpu_shapes {
+            if t.cap.gpus > 0.0 && s.allows_type(t.ix) && (s.spot || !spot) && Res::of(s).fits_in(&t.cap) {
+                let g = guard.get_or_insert(Res::of(s));
+                let s = Res::of(s);
+                *g = Res { cpus: g.cpus.max(s.cpus), gpus: g.gpus.max(s.gpus), memory_gb: g.memory_gb.max(s.memory_gb) };
+            }
+        }
+        guard
+    }
+
     pub fn picture(&self, now: Ms) -> Picture {
         let mut hosts = Vec::with_capacity(self.machines.len());
         for (n, m) in self.machines.iter().enumerate() {
@@ -61,6 +96,8 @@
                     && m.notice_until.is_none()
                     && !m.retire
                     && now >= m.avoid_until,
+                guard: self.guard_of(t, m.spot),
+                fixed: Res::default(),
             };
             for &p in &m.places {
                 let Some(p) = self.place(p) else { continue };
@@ -73,6 +110,9 @@
                 if job.spec.kind == Kind::Service {
                     host.services += 1;
                 }
+                if job.spec.priority == Priority::Production {
+                    host.fixed += need;
+                }
             }
             hosts.push(host);
         }
@@ -145,12 +185,21 @@
             self.fleet.unmet = unmet;
             return;
         }
+        self.note_gpu_shapes(now);
         let mut picture = self.picture(now);
+        let mut headroom = Some(self.headroom(now));
         // Shapes that found no room at all: room only shrinks within a pass.
         let mut failed: Vec<Rc<JobSpec>> = Vec::new();
         for ix in order {
             let Some(job) = self.job(ix) else { continue };
             let spec = job.spec.clone();
+            if spec.kind != Kind::Service {
+                // Services come first in the order; what follows leaves room
+                // for the replicas that are expected next.
+                for (spec, n) in headroom.take().into_iter().flatten() {
+                    self.keep_headroom(&spec, n, &mut picture);
+                }
+            }
             let room = self
                 .team_limits(spec.team)
                 .room_for(&spec, &ledger.used.get(spec.team.at()).copied().unwrap_or_default());
@@ -192,6 +241,35 @@
         self.fleet.unmet = unmet;
     }
 
+    /// Shapes of the production services that arrived lately, and how many
+    /// replicas of each may be expected within the time a machine takes to come.
+    fn headroom(&self, now: Ms) -> Vec<(Rc<JobSpec>, usize)> {
+        let mut seen: Vec<(Rc<JobSpec>, f64)> = Vec::new();
+        for job in self.active.iter().filter_map(|&j| self.job(j)) {
+            let spec = &job.spec;
+            if spec.kind != Kind::Service || spec.priority != Priority::Production || job.status != Status::Pending {
+                continue;
+            }
+            let recent = if job.age_s(now) < HEADROOM_WINDOW_S { f64::from(spec.tasks) } else { 0.0 };
+            match seen.iter_mut().find(|(s, _)| s.class == spec.class) {
+                Some((_, n)) => *n += recent,
+                None => seen.push((spec.clone(), recent)),
+            }
+        }
+        seen.into_iter()
+            .map(|(s, n)| (s, ((n / HEADROOM_WINDOW_S * HEADROOM_S).ceil() as usize).clamp(1, HEADROOM_MOST)))
+            .collect()
+    }
+
+    fn keep_headroom(&self, spec: &JobSpec, n: usize, picture: &mut Picture) {
+        let tasks: Vec<u32> = (0..n as u32).collect();
+        let ask = Ask { spec, tasks: &tasks, min: 1, zone_used: &[], avoid: &[] };
+        let out = picture.later().trial(&ask);
+        if out.verdict == Verdict::Success {
+            picture.reserve(spec, &out.picks);
+        }
+    }
+
     fn avoided(&self, job: &Job) -> Vec<MachineIx> {
         let up = self.machines.iter().filter(|m| m.life == Life::Up).count();
         // Once it failed nearly everywhere, the machines aren't the reason.
--- a/src/coordination/trial.rs
+++ b/src/coordination/trial.rs
@@ -9,7 +9,7 @@
 
 use super::model::{MachineIx, Res};
 use crate::protocol::{
-    jobs::{JobSpec, Kind},
+    jobs::{JobSpec, Kind, Priority},
     names::{ImageIx, TypeIx, ZoneIx},
 };
 
@@ -55,6 +55,11 @@
     pub slowness: f64,
     /// May take new tasks at all.
     pub open: bool,
+    /// What GPU work lately asked for that this machine could run: tasks that
+    /// can't be stopped for it must leave that much.
+    pub guard: Option<Res>,
+    /// Used by tasks that are not stopped for others.
+    pub fixed: Res,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -95,6 +100,16 @@
             && spec.zone.is_none_or(|z| z == host.zone)
             && (spec.spot || !host.spot)
             && Res::of(spec).fits_in(&host.cap)
+            && !Picture::takes_guarded(host, spec)
+    }
+
+    /// Guard against greedy siblings: a replica that stays for hours on a few
+    /// CPUs of a machine with GPUs would keep all GPU work off it.
+    fn takes_guarded(host: &Host, spec: &JobSpec) -> bool {
+        let need = Res::of(spec);
+        need.gpus <= 0.0
+            && spec.priority == Priority::Production
+            && host.guard.is_some_and(|g| !(g + need + host.fixed).fits_in(&host.cap))
     }
 
     /// Seconds that a start here is worth against a start elsewhere.
@@ -168,6 +183,9 @@
         if spec.kind == Kind::Service {
             h.services += 1;
         }
+        if spec.priority == Priority::Production {
+            h.fixed += Res::of(spec);
+        }
     }
 
     fn revert(&mut self, spec: &JobSpec, picks: &[Pick]) {
@@ -177,6 +195,9 @@
             if spec.kind == Kind::Service {
                 h.services -= 1;
             }
+            if spec.priority == Priority::Production {
+                h.fixed -= Res::of(spec);
+            }
         }
     }
 
@@ -309,7 +330,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::{coordination::model::tests::spec, protocol::jobs::Priority};
+    use crate::coordination::model::tests::spec;
 
     pub fn host(n: u32, zone: u32, cpus: f64) -> Host {
         let cap = Res { cpus, gpus: 0.0, memory_gb: 100.0 };
@@ -327,6 +348,8 @@
             services: 0,
             slowness: 1.0,
             open: true,
+            guard: None,
+            fixed: Res::default(),
         }
     }
 
@@ -367,6 +390,11 @@
         closed.open = false;
         let mut spot = host(0, 0, 8.0);
         spot.spot = true;
+        let mut gpu = host(0, 0, 8.0);
+        gpu.cap.gpus = 4.0;
+        gpu.free.gpus = 4.0;
+        gpu.guard = Some(Res { cpus: 5.0, gpus: 4.0, memory_gb: 1.0 });
+        let prod: fn(&mut JobSpec) = |s| s.priority = Priority::Production;
         let cases = vec![
             Case {
                 name: "array takes what fits",
