Order equals by the aim they can still meet, small jobs first

Cause: oldest first let jobs that had missed their aim hold up those that could meet it. Excluded: capacity (GPU use was full in the burst).

--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -38,14 +38,22 @@
     pub txn_ops: usize,
     pub list_lag_ms: Ms,
     pub teams: Vec<TeamLimits>,
-    /// Classes with an aim for the share that starts within some seconds.
-    pub start_within: Vec<(ClassIx, f64)>,
+    /// What users want of a class: starts or ends within some seconds.
+    pub aims: Vec<Aim>,
     pub idle_keep_ms: Ms,
     pub silent_ms: Ms,
     pub max_machines: usize,
     pub use_spot: bool,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Aim {
+    pub class: ClassIx,
+    /// The first tasks run; otherwise: all are done.
+    pub start: bool,
+    pub within_s: f64,
+}
+
 #[derive(Debug, Clone)]
 pub enum Effect {
     Do { machine: MachineIx, call: u64, addr: SocketAddr, req: DoRequest },
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -162,19 +162,49 @@
     }
 
     fn pass_order(&self, now: Ms, ledger: &Ledger) -> Vec<JobIx> {
-        let mut order: Vec<(Priority, bool, i64, JobIx)> = self
+        let mut order: Vec<(Priority, bool, (u32, f64), JobIx)> = self
             .active
             .iter()
             .filter_map(|&ix| self.job(ix))
             .filter(|j| j.status == Status::Pending && !j.pending.is_empty() && now >= j.not_before && !j.stale)
             // A gang starts anew only once all of its old attempt is gone.
             .filter(|j| j.spec.kind != Kind::Gang || j.placed == 0)
-            .map(|j| (j.spec.priority, ledger.guaranteed.contains(&j.ix), j.since, j.ix))
+            .map(|j| (j.spec.priority, ledger.guaranteed.contains(&j.ix), self.turn(now, j), j.ix))
             .collect();
-        order.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.cmp(&a.1)).then(a.2.cmp(&b.2)).then(a.3.cmp(&b.3)));
+        order.sort_by(|a, b| {
+            let turn = a.2 .0.cmp(&b.2 .0).then(a.2 .1.total_cmp(&b.2 .1));
+            b.0.cmp(&a.0).then(b.1.cmp(&a.1)).then(turn).then(a.3.cmp(&b.3))
+        });
         order.into_iter().map(|o| o.3).collect()
     }
 
+    /// Expected run time of a task, corrected by what its class showed so far.
+    pub fn expected_s(&self, spec: &JobSpec) -> f64 {
+        spec.estimate_s * self.class_bias.get(&spec.class).map_or(1.0, |b| b.0)
+    }
+
+    /// Among equals, jobs whose aim can still be met come before those that
+    /// have missed it, and small ones before large ones: so most are in time
+    /// when there is too little for all. What missed every aim goes by age.
+    fn turn(&self, now: Ms, job: &Job) -> (u32, f64) {
+        let age = job.age_s(now);
+        let run = self.expected_s(&job.spec);
+        let fetch = (job.spec.image_gb / 0.5).min(30.0);
+        let due = job.spec.deadline_s.map(|d| [(false, d), (false, d * 1.5)]);
+        let aims = self.cfg.aims.iter().filter(|a| a.class == job.spec.class).map(|a| (a.start, a.within_s));
+        let work = job.pending.len() as f64 * run * (job.spec.cpus + 8.0 * job.spec.gpus).max(0.1);
+        for (n, (start, within)) in due.into_iter().flatten().chain(aims).enumerate() {
+            if start && job.started {
+                continue;
+            }
+            let ends = if start { age } else { age + run + fetch.min(5.0) };
+            if ends <= within {
+                return (n as u32, work);
+            }
+        }
+        (u32::MAX, -age)
+    }
+
     pub fn pass(&mut self, now: Ms) {
         self.dirty = false;
         self.last_pass = now;
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -19,7 +19,7 @@
     },
     coordination::{
         election::{Act, Election},
-        leader::{Config, Leader},
+        leader::{Aim, Config, Leader},
         model::{MachineIx, Ms, TeamLimits, TypeInfo},
     },
     protocol::{cbor, names::Tables, operator::Operator, peers, settings::Settings},
@@ -221,12 +221,20 @@
         let c = &self.settings.cluster;
         let set = |x: f64| (x > 0.0).then_some(x);
         let report_ms = (c.workers.report_s * 1000.0) as Ms;
-        let start_within = c
+        let mut aims: Vec<Aim> = c
             .objectives
             .iter()
-            .filter(|o| o.kind == "wait")
-            .filter_map(|o| Some((self.tables.classes.intern(o.class.as_deref()?), o.within_s?)))
+            .filter_map(|o| {
+                let start = match o.kind.as_str() {
+                    "wait" => true,
+                    "finished" => false,
+                    _ => return None,
+                };
+                let class = self.tables.classes.intern(o.class.as_deref()?);
+                Some(Aim { class, start, within_s: o.within_s? })
+            })
             .collect();
+        aims.sort_by(|a, b| a.within_s.total_cmp(&b.within_s));
         Config {
             lease_ms: (c.workers.lease_s * 1000.0) as Ms,
             report_ms,
@@ -243,7 +251,7 @@
                     gpus_max: set(t.gpus_max),
                 })
                 .collect(),
-            start_within,
+            aims,
             idle_keep_ms: (self.operator.idle_keep_s * 1000.0) as Ms,
             silent_ms: self.operator.silent_return_s.map_or(report_ms * 2 + 2_500, |s| (s * 1000.0) as Ms),
             max_machines: self.operator.max_machines.unwrap_or(usize::MAX),
