--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -262,6 +262,9 @@
             error_on: Vec::new(),
             shown: (0, 0),
             evict_at: 0,
+            stops: 0,
+            losses: 0,
+            last_placed: now,
             waiting_since: now,
         });
         self.active.push(ix);
@@ -361,6 +364,7 @@
         let ver = job.touch(task);
         job.placed += 1;
         job.started = true;
+        job.last_placed = now;
         if job.pending.last() == Some(&task) {
             job.pending.pop();
         } else {
@@ -440,6 +444,9 @@
         for p in all {
             let old = self.place(p).is_some_and(|p| below_session.is_none_or(|s| p.session < s));
             if old {
+                if let Some(j) = self.place(p).map(|p| p.job).and_then(|j| self.job_mut(j)) {
+                    j.losses += 1;
+                }
                 self.free_place(p, false);
             }
         }
@@ -762,6 +769,11 @@
                     j.not_before = now + 3_000;
                 }
             }
+            Why::Stopped => {
+                if let Some(j) = self.job_mut(job_ix) {
+                    j.stops += 1;
+                }
+            }
             Why::Error => self.failed(now, machine, job_ix, &t.task),
             _ => {}
         }
@@ -1206,7 +1218,7 @@
         let Some(mut f) = self.flying.take() else { return true };
         match outcome {
             CommitOutcome::Done(epoch) => {
-                self.applied(f, epoch);
+                self.applied(now, f, epoch);
             }
             CommitOutcome::Refused => {
                 self.commit_after = now + 150;
@@ -1278,7 +1290,7 @@
         self.dirty = true;
     }
 
-    fn applied(&mut self, f: Flying, epoch: u64) {
+    fn applied(&mut self, now: Ms, f: Flying, epoch: u64) {
         for &(ix, c, ver) in &f.chunks {
             match self.job_mut(ix) {
                 Some(job) => {
@@ -1291,8 +1303,9 @@
         for &ix in &f.dones {
             if let Some(job) = self.job_mut(ix) {
                 job.stamp = epoch;
-                let age = job.since;
-                tracing::info!(job = &*job.id, since = age, "done");
+                let last_s = (job.last_placed as i64 - job.since) as f64 / 1000.0;
+                let (est, tasks) = (job.spec.estimate_s, job.spec.tasks);
+                tracing::info!(job = &*job.id, age_s = job.age_s(now), last_s, tasks, est, rank = ?job.spec.priority, stops = job.stops, losses = job.losses, "done");
             }
             self.finish(ix);
         }
@@ -1309,7 +1322,7 @@
             if rec.tag == f.tag & !UNSURE {
                 // Ours after all: everything in it has this one stamp.
                 f.resync.clear();
-                self.applied(f, at);
+                self.applied(now, f, at);
                 return;
             }
         }
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -137,6 +137,11 @@
     pub error_on: Vec<MachineIx>,
     pub shown: (u32, u32),
     pub evict_at: Ms,
+    /// For the logs: tasks stopped by command, tasks lost with their machine,
+    /// and when a task was last given a place.
+    pub stops: u32,
+    pub losses: u32,
+    pub last_placed: Ms,
     /// First seen waiting without room, for the logs and the fleet.
     pub waiting_since: Ms,
 }
