--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,13 +1,14 @@
 //! The fleet: what is rented for work that waits, and what is handed back.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use super::{
     leader::{Effect, Leader},
     model::*,
+    trial::{Ask, Verdict},
 };
 use crate::{
-    bookkeeping::mirror::JobIx,
+    bookkeeping::{mirror::JobIx, records::Status},
     protocol::{
         cloud::{HostList, HostState, RentRequest},
         jobs::{JobSpec, Kind, Priority},
@@ -20,6 +21,11 @@
 const RETURN_MS: Ms = 400;
 const REFUSED_MS: Ms = 6_000;
 const REFUSED_MAX_MS: Ms = 25_000;
+/// Nothing waited for room for this long.
+const QUIET_MS: Ms = 12_000;
+/// Paid for a machine, against what its replicas would cost on fitting ones.
+const DEAR: f64 = 3.0;
+const CONSOLIDATE_MS: Ms = 2_000;
 const RENTS_A_STEP: usize = 4;
 
 type Offer = (TypeIx, ZoneIx, bool);
@@ -44,6 +50,9 @@
     next_think: Ms,
     next_return: Ms,
     pub listed_once: bool,
+    /// When work last waited for room.
+    pub crowded: Ms,
+    next_consolidation: Ms,
 }
 
 #[derive(Debug)]
@@ -68,6 +77,8 @@
             next_think: now,
             next_return: now,
             listed_once: false,
+            crowded: now,
+            next_consolidation: now,
         }
     }
 
@@ -95,6 +106,13 @@
             self.fleet.next_return = now + RETURN_MS;
             self.hand_back(now);
         }
+        if !self.fleet.unmet.is_empty() {
+            self.fleet.crowded = now;
+        }
+        if now >= self.fleet.next_consolidation {
+            self.fleet.next_consolidation = now + CONSOLIDATE_MS;
+            self.consolidate(now);
+        }
         if now >= self.fleet.next_think {
             self.fleet.next_think = now + THINK_MS;
             self.rent(now, tables);
@@ -165,10 +183,116 @@
         m.idle_since.is_some_and(|s| now > s + self.cfg.idle_keep_ms)
     }
 
+    /// An expensive machine whose GPUs have no use takes no other work once
+    /// nothing waits: it runs empty and goes back.
+    pub fn runs_empty(&self, now: Ms, m: &Machine, t: &TypeInfo) -> bool {
+        if t.cap.gpus <= 0.0 || t.cap.cpus <= 0.0 || now < self.fleet.crowded + QUIET_MS {
+            return false;
+        }
+        let per_cpu = |t: &TypeInfo| t.price_of(m.spot) / t.cap.cpus;
+        let cheapest = self.types.iter().filter(|t| t.cap.cpus > 0.0).map(per_cpu).fold(f64::INFINITY, f64::min);
+        m.gpu_idle_since.is_some_and(|s| now > s + QUIET_MS) && per_cpu(t) > 2.0 * cheapest
+    }
+
+    /// When nothing waits, replicas on the dearest machine that holds nothing
+    /// else move to where there is room among others, and it goes back. A move
+    /// costs a replica the moment between its stop and its start.
+    fn consolidate(&mut self, now: Ms) {
+        if now < self.fleet.crowded + QUIET_MS || now < self.started + 4 * QUIET_MS {
+            return;
+        }
+        if self.machines.iter().any(|m| m.retire && !m.places.is_empty()) {
+            return;
+        }
+        let mut candidates: Vec<(f64, MachineIx)> = Vec::new();
+        for (n, m) in self.machines.iter().enumerate() {
+            let settled = m.up_at.is_some_and(|u| now > u + self.cfg.idle_keep_ms);
+            if m.life != Life::Up || m.retire || m.places.is_empty() || !settled || !m.fenced() {
+                continue;
+            }
+            let movable = m.places.iter().all(|&p| {
+                self.place(p).is_some_and(|p| {
+                    let service = self.job(p.job).is_some_and(|j| {
+                        j.spec.kind == Kind::Service && j.status == Status::Pending && j.spec.gpus <= 0.0
+                    });
+                    let steady = p.running_since.is_some_and(|s| now > s + self.cfg.idle_keep_ms);
+                    service && steady && p.halt.is_none()
+                })
+            });
+            let price = self.type_of(m).map_or(0.0, |t| t.price_of(m.spot));
+            // Worth the moment without them only where much is paid for little.
+            let fair: f64 = m.places.iter().filter_map(|&p| self.place(p)).map(|p| self.fair_price(p.job)).sum();
+            if movable && price > DEAR * fair {
+                candidates.push((price, MachineIx(n as u32)));
+            }
+        }
+        candidates.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let base = self.picture_with_headroom(now);
+        for (price, ix) in candidates.into_iter().take(4) {
+            let mut picture = base.clone();
+            for h in &mut picture.hosts {
+                // Not to empty machines, nor to any that hold the machine's like.
+                let busy = !self.machine(h.ix).places.is_empty();
+                h.open &= busy && h.ix != ix && !h.gpu_only;
+            }
+            let all = self.machine(ix).places.iter().all(|&p| {
+                let Some(place) = self.place(p) else { return false };
+                let Some(job) = self.job(place.job) else { return false };
+                // Its other replicas keep their zones.
+                let mut zone_used = Vec::new();
+                for s in &job.slots {
+                    if let Slot::At(q) = s {
+                        if let Some(q) = self.place(*q).filter(|_| *q != p) {
+                            if zone_used.len() <= q.zone.at() {
+                                zone_used.resize(q.zone.at() + 1, 0);
+                            }
+                            zone_used[q.zone.at()] += 1;
+                        }
+                    }
+                }
+                let ask = Ask { spec: &job.spec, tasks: &[place.task], min: 1, zone_used: &zone_used, avoid: &[] };
+                let out = picture.trial(&ask);
+                out.verdict == Verdict::Success
+                    && out.picks.iter().all(|p| picture.hosts[p.host].images.contains(&job.spec.image))
+            });
+            if !all {
+                continue;
+            }
+            let m = &mut self.machines[ix.at()];
+            tracing::info!(machine = &*m.id, price, replicas = m.places.len(), "its replicas move, it goes back");
+            m.retire = true;
+            for p in m.places.clone() {
+                self.halt(now, p, 0.0);
+            }
+            self.dirty = true;
+            return;
+        }
+    }
+
+    /// What a task of this job costs an hour on the machine type that suits it best.
+    fn fair_price(&self, job: JobIx) -> f64 {
+        let Some(job) = self.job(job) else { return 0.0 };
+        let need = Res::of(&job.spec);
+        let slot = |t: &TypeInfo| t.price_of(job.spec.spot) / f64::from(need.times_in(&t.cap).max(1));
+        self.types.iter().filter(|t| need.fits_in(&t.cap) && job.spec.allows_type(t.ix)).map(slot).fold(f64::INFINITY, f64::min)
+    }
+
     /// Notes since when machines have had nothing to do.
     pub fn note_idle(&mut self, now: Ms) {
-        for m in &mut self.machines {
+        let gpu_users: HashSet<MachineIx> = self
+            .places
+            .iter()
+            .flatten()
+            .filter(|p| self.job(p.job).is_some_and(|j| j.spec.gpus > 0.0))
+            .map(|p| p.machine)
+            .collect();
+        for (n, m) in self.machines.iter_mut().enumerate() {
             if m.life == Life::Up {
+                if gpu_users.contains(&MachineIx(n as u32)) {
+                    m.gpu_idle_since = None;
+                } else {
+                    m.gpu_idle_since.get_or_insert(now);
+                }
                 if m.places.is_empty() {
                     m.idle_since.get_or_insert(now);
                 } else {
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -267,6 +267,8 @@
     pub rented: Ms,
     pub up_at: Option<Ms>,
     pub idle_since: Option<Ms>,
+    /// Since when none of its GPUs is in use.
+    pub gpu_idle_since: Option<Ms>,
     pub avoid_until: Ms,
     /// Jobs whose tasks failed here, and when.
     pub errors: Vec<(JobIx, Ms)>,
@@ -305,6 +307,7 @@
             rented: now,
             up_at: None,
             idle_since: None,
+            gpu_idle_since: None,
             avoid_until: 0,
             errors: Vec::new(),
             retire: false,
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -97,6 +97,7 @@
                     && !m.retire
                     && now >= m.avoid_until,
                 guard: self.guard_of(t, m.spot),
+                gpu_only: self.runs_empty(now, m, t),
                 fixed: Res::default(),
             };
             for &p in &m.places {
@@ -300,6 +301,15 @@
         }
     }
 
+    /// The picture less the room kept for the next replicas.
+    pub fn picture_with_headroom(&self, now: Ms) -> Picture {
+        let mut picture = self.picture(now);
+        for (spec, n) in self.headroom(now) {
+            self.keep_headroom(&spec, n, &mut picture);
+        }
+        picture
+    }
+
     fn avoided(&self, job: &Job) -> Vec<MachineIx> {
         let up = self.machines.iter().filter(|m| m.life == Life::Up).count();
         // Once it failed nearly everywhere, the machines aren't the reason.
--- a/src/coordination/trial.rs
+++ b/src/coordination/trial.rs
@@ -58,6 +58,8 @@
     /// What GPU work lately asked for that this machine could run: tasks that
     /// can't be stopped for it must leave that much.
     pub guard: Option<Res>,
+    /// Takes GPU work only: it is to run empty.
+    pub gpu_only: bool,
     /// Used by tasks that are not stopped for others.
     pub fixed: Res,
 }
@@ -100,6 +102,7 @@
             && spec.zone.is_none_or(|z| z == host.zone)
             && (spec.spot || !host.spot)
             && Res::of(spec).fits_in(&host.cap)
+            && !(host.gpu_only && spec.gpus <= 0.0)
             && !Picture::takes_guarded(host, spec)
     }
 
@@ -349,6 +352,7 @@
             slowness: 1.0,
             open: true,
             guard: None,
+            gpu_only: false,
             fixed: Res::default(),
         }
     }
