--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -50,6 +50,8 @@
     next_think: Ms,
     next_return: Ms,
     pub listed_once: bool,
+    /// When the cloud last answered.
+    pub cloud_ok: Ms,
     /// When work last waited for room.
     pub crowded: Ms,
     next_consolidation: Ms,
@@ -77,6 +79,7 @@
             next_think: now,
             next_return: now,
             listed_once: false,
+            cloud_ok: now,
             crowded: now,
             next_consolidation: now,
         }
@@ -128,14 +131,19 @@
     // ---- handing back --------------------------------------------------
 
     fn hand_back(&mut self, now: Ms) {
-        let up = self.machines.iter().filter(|m| m.life == Life::Up && !m.places.is_empty()).count();
-        let silent = |m: &Machine| m.heard.is_none_or(|h| now > h + self.cfg.silent_ms);
-        let fresh = |m: &Machine| m.heard.is_some_and(|h| now < h + 2 * self.cfg.report_ms);
-        let quiet = self.machines.iter().filter(|m| m.life == Life::Up && silent(m)).count();
-        let talking = self.machines.iter().filter(|m| m.life == Life::Up && fresh(m)).count();
-        // Many silent at once speak of a cut, not of dead machines; theirs may
-        // well be running behind it.
-        let few = quiet <= 1 + talking / 4 && now > self.started + 2 * self.cfg.silent_ms;
+        // Taken over with tasks on it, and not heard since this leader began.
+        let inherited = |m: &Machine| m.life == Life::Booting && !m.places.is_empty();
+        let silent = |m: &Machine| {
+            let since = m.heard.unwrap_or(self.started + self.cfg.report_ms);
+            now > since + self.cfg.silent_ms && m.life != Life::Gone && (m.life != Life::Booting || inherited(m))
+        };
+        let fresh = |m: &Machine| m.life == Life::Up && m.heard.is_some_and(|h| now < h + 2 * self.cfg.report_ms);
+        // Guard: many silent at once speak of a cut, not of dead machines;
+        // theirs may well be running behind it. Those already being handed
+        // back count too, or a cut would be taken for one death after another.
+        let quiet = self.machines.iter().filter(|m| silent(m)).count();
+        let talking = self.machines.iter().filter(|m| fresh(m)).count();
+        let few = quiet <= 1 + talking / 5 && self.fleet.cloud_ok + 5_000 > now;
         let mut ids = Vec::new();
         for (n, m) in self.machines.iter().enumerate() {
             if ids.len() >= 50 || now < m.return_after {
@@ -144,11 +152,18 @@
             let why = match m.life {
                 Life::Gone => continue,
                 Life::Returning => "asked before",
+                Life::Booting if inherited(m) => {
+                    if silent(m) && few {
+                        "silent"
+                    } else {
+                        continue;
+                    }
+                }
                 Life::Booting => {
                     let boot = self.type_of(m).map_or(60.0, |t| t.boot_s);
                     let most = (boot * 3.0 + 15.0) * 1000.0;
                     let after = m.rented.max(self.started);
-                    if m.places.is_empty() && (now - after) as f64 > most {
+                    if (now - after) as f64 > most {
                         "never came up"
                     } else {
                         continue;
@@ -161,7 +176,6 @@
             };
             ids.push((MachineIx(n as u32), why));
         }
-        let _ = up;
         if ids.is_empty() {
             return;
         }
@@ -324,6 +338,7 @@
         self.fleet.calls.remove(&call);
         let Some(list) = list else { return };
         self.fleet.listed_once = true;
+        self.fleet.cloud_ok = now;
         for h in &list.hosts {
             let zone = tables.zones.intern(&h.zone);
             let known = self.machine_ix.contains_key(&h.id);
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -290,7 +290,7 @@
     /// Wants a task stopped. A place whose launch was never sent is given up at once.
     pub fn halt(&mut self, now: Ms, ix: PlaceIx, grace_s: f64) {
         let Some(p) = self.places[ix.at()].as_mut() else { return };
-        let never_sent = p.state == PlaceState::Wanted && p.sent.is_none() && p.made >= self.started && p.made > 0;
+        let never_sent = p.state == PlaceState::Wanted && p.sent.is_none() && !p.inherited;
         if never_sent {
             self.free_place(ix, false);
             return;
@@ -383,6 +383,7 @@
             running_since: None,
             halt: None,
             made: now,
+            inherited: false,
         };
         let ix = match self.free_places.pop() {
             Some(n) => {
@@ -701,7 +702,7 @@
         }
         let was = p.state;
         p.state = PlaceState::Seen(t.state);
-        let (now_running, made) = (t.state == TaskState::Running, p.made);
+        let (now_running, made, inherited) = (t.state == TaskState::Running, p.made, p.inherited);
         if was == p.state {
             return;
         }
@@ -713,7 +714,7 @@
             match (was_running, now_running) {
                 (false, true) => {
                     job.running += 1;
-                    if job.running + job.done == 1 {
+                    if job.running + job.done == 1 && !inherited {
                         let wait_s = job.age_s(now);
                         let fetched_s = (now - made) as f64 / 1000.0;
                         tracing::info!(job = &*job.id, kind = ?job.spec.kind, rank = ?job.spec.priority, wait_s, fetched_s, gb = job.spec.image_gb, "first task runs");
@@ -1054,6 +1055,7 @@
                 // Its launch may have been sent by the leader before.
                 if let Some(p) = self.places[p.at()].as_mut() {
                     p.sent = Some(now);
+                    p.inherited = true;
                 }
             }
         }
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -203,6 +203,8 @@
     pub running_since: Option<Ms>,
     pub halt: Option<Halt>,
     pub made: Ms,
+    /// Read from a record: a leader before may have sent its launch.
+    pub inherited: bool,
 }
 
 /// An ended task that the worker still lists: reaped once its end is written.
--- a/src/protocol/operator.rs
+++ b/src/protocol/operator.rs
@@ -16,7 +16,7 @@
 
 impl Default for Operator {
     fn default() -> Self {
-        Operator { leader_ttl_ms: 4_000, idle_keep_s: 45.0, silent_return_s: None, max_machines: None, use_spot: true }
+        Operator { leader_ttl_ms: 2_500, idle_keep_s: 45.0, silent_return_s: None, max_machines: None, use_spot: true }
     }
 }
 
