--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -111,7 +111,7 @@
                 if job.spec.kind == Kind::Service {
                     host.services += 1;
                 }
-                if job.spec.priority == Priority::Production {
+                if Picture::is_fixed(&job.spec) && job.spec.gpus <= 0.0 {
                     host.fixed += need;
                 }
             }
--- a/src/coordination/trial.rs
+++ b/src/coordination/trial.rs
@@ -107,14 +107,20 @@
     }
 
     /// Guard against greedy siblings: a replica that stays for hours on a few
-    /// CPUs of a machine with GPUs would keep all GPU work off it.
+    /// CPUs of a machine with GPUs would keep all GPU work off it, and tasks
+    /// that can't save would be stopped for it at their full loss.
     fn takes_guarded(host: &Host, spec: &JobSpec) -> bool {
         let need = Res::of(spec);
         need.gpus <= 0.0
-            && spec.priority == Priority::Production
+            && Picture::is_fixed(spec)
             && host.guard.is_some_and(|g| !(g + need + host.fixed).fits_in(&host.cap))
     }
 
+    /// Not stopped for others, or only at the loss of all it did.
+    pub fn is_fixed(spec: &JobSpec) -> bool {
+        spec.priority == Priority::Production || spec.checkpoint_s <= 0.0
+    }
+
     /// Seconds that a start here is worth against a start elsewhere.
     fn score(host: &Host, spec: &JobSpec, need: &Res) -> f64 {
         let mut s = 0.0;
@@ -186,7 +192,7 @@
         if spec.kind == Kind::Service {
             h.services += 1;
         }
-        if spec.priority == Priority::Production {
+        if Picture::is_fixed(spec) {
             h.fixed += Res::of(spec);
         }
     }
@@ -198,7 +204,7 @@
             if spec.kind == Kind::Service {
                 h.services -= 1;
             }
-            if spec.priority == Priority::Production {
+            if Picture::is_fixed(spec) {
                 h.fixed -= Res::of(spec);
             }
         }
