--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -12,7 +12,7 @@
     protocol::{
         cloud::{HostList, HostState, RentRequest},
         jobs::{JobSpec, Kind, Priority},
-        names::{Tables, TypeIx, ZoneIx},
+        names::{ClassIx, Tables, TypeIx, ZoneIx},
     },
 };
 
@@ -23,6 +23,8 @@
 const REFUSED_MAX_MS: Ms = 25_000;
 /// Nothing waited for room for this long.
 const QUIET_MS: Ms = 12_000;
+/// Idle machines are kept for this many times what getting them again takes.
+const KEEP: f64 = 1.4;
 /// Paid for a machine, against what its replicas would cost on fitting ones.
 const DEAR: f64 = 3.0;
 const CONSOLIDATE_MS: Ms = 2_000;
@@ -194,7 +196,17 @@
     }
 
     fn idle_long(&self, now: Ms, m: &Machine) -> bool {
-        m.idle_since.is_some_and(|s| now > s + self.cfg.idle_keep_ms)
+        m.idle_since.is_some_and(|s| now > s + self.keep_ms(m))
+    }
+
+    /// A machine that takes long to get again is kept longer.
+    fn keep_ms(&self, m: &Machine) -> Ms {
+        let again = self.type_of(m).map_or(0.0, |t| {
+            let image = self.gpu_shapes.iter().filter(|(s, _)| s.allows_type(t.ix) && Res::of(s).fits_in(&t.cap));
+            let gb = image.map(|(s, _)| s.image_gb).fold(0.0, f64::max);
+            t.boot_s + if t.cap.gpus > 0.0 { gb / t.fetch_gb_per_s.max(0.01) } else { 0.0 }
+        });
+        self.cfg.idle_keep_ms.max((again * KEEP * 1000.0) as Ms)
     }
 
     /// An expensive machine whose GPUs have no use takes no other work once
@@ -205,7 +217,7 @@
         }
         let per_cpu = |t: &TypeInfo| t.price_of(m.spot) / t.cap.cpus;
         let cheapest = self.types.iter().filter(|t| t.cap.cpus > 0.0).map(per_cpu).fold(f64::INFINITY, f64::min);
-        m.gpu_idle_since.is_some_and(|s| now > s + QUIET_MS) && per_cpu(t) > 2.0 * cheapest
+        m.gpu_idle_since.is_some_and(|s| now > s + self.keep_ms(m) / 2) && per_cpu(t) > 2.0 * cheapest
     }
 
     /// When nothing waits, replicas on the dearest machine that holds nothing
@@ -393,6 +405,14 @@
         let mut total = self.machines.iter().filter(|m| !matches!(m.life, Life::Gone | Life::Returning)).count()
             + self.pending_rents();
         let mut wanted: Vec<(Offer, u32)> = Vec::new();
+        // A large machine is cheap for many small jobs together, though not
+        // for one of them: what waits of a class is counted as a whole.
+        let mut of_class: HashMap<ClassIx, u32> = HashMap::new();
+        for (ix, n) in &self.fleet.unmet {
+            if let Some(job) = self.job(*ix) {
+                *of_class.entry(job.spec.class).or_default() += n;
+            }
+        }
         for (ix, n) in self.fleet.unmet.clone() {
             let Some(job) = self.job(ix) else { continue };
             let spec = job.spec.clone();
@@ -419,7 +439,8 @@
             let mut tries = 0;
             while left > 0 && tries < 6 && total < self.cfg.max_machines {
                 tries += 1;
-                let Some((offer, per)) = self.choose(now, &spec, ix, left, waited_s) else { break };
+                let alike = of_class.get(&spec.class).copied().unwrap_or(0).max(left);
+                let Some((offer, per)) = self.choose(now, &spec, ix, alike, waited_s) else { break };
                 let count = left.div_ceil(per).min(16).min((self.cfg.max_machines - total) as u32);
                 let Some(cap) = self.types.iter().find(|t| t.ix == offer.0).map(|t| t.cap) else { break };
                 for _ in 0..count {
