--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,785 @@
+//! Stand-ins written from PROTOCOL, in virtual time: a state service, workers,
+//! a cloud, and a judge that watches every start. One leader's mind drives
+//! them; whoever writes a case decides what is held, lost or killed.
+
+use std::collections::HashMap;
+
+use ciborium::Value;
+use rand::{rngs::SmallRng, RngExt, SeedableRng};
+use shedhook::{
+    bookkeeping::{
+        mirror::Mirror,
+        records::{self, JobRecord, Status},
+    },
+    coordination::{
+        fleet::RentOutcome,
+        leader::{Answer, CommitOutcome, Config, DoOutcome, Effect, Leader},
+        model::{Ms, Res, TeamLimits, TypeInfo},
+    },
+    protocol::{
+        cloud::{HostList, HostState, ListedHost, RentRequest},
+        jobs::Submission,
+        names::Tables,
+        store::{Change, Changes, Op, Page, Pair, Txn},
+        workers::{split_task, DoRequest, Order, Report, TaskReport, TaskState, Why},
+    },
+};
+
+pub const LEASE: Ms = 30_000;
+pub const CANCEL: Ms = 50_000;
+const REPORT: Ms = 3_000;
+const STEP: Ms = 100;
+const FETCH: Ms = 1_000;
+
+// ---- state service -----------------------------------------------------
+
+#[derive(Default)]
+pub struct Store {
+    pub keys: std::collections::BTreeMap<String, (Value, u64)>,
+    pub epoch: u64,
+    log: Vec<Change>,
+}
+
+impl Store {
+    pub fn apply(&mut self, txn: &Txn) -> Result<u64, Vec<String>> {
+        let failed: Vec<String> = txn
+            .conditions
+            .iter()
+            .filter(|c| self.keys.get(&c.key).map_or(0, |k| k.1) != c.stamp)
+            .map(|c| c.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return Err(failed);
+        }
+        self.epoch += 1;
+        let stamp = self.epoch;
+        for w in &txn.writes {
+            match w {
+                Op::Put { key, v, .. } => {
+                    self.keys.insert(key.clone(), (v.clone(), stamp));
+                    self.log.push(Change { write: Some(key.clone()), drop: None, v: Some(v.clone()), stamp });
+                }
+                Op::Delete { key } => {
+                    self.keys.remove(key);
+                    self.log.push(Change { write: None, drop: Some(key.clone()), v: None, stamp });
+                }
+            }
+        }
+        Ok(stamp)
+    }
+
+    fn page(&self, prefix: &str) -> Page {
+        let pairs = self
+            .keys
+            .iter()
+            .filter(|(k, _)| k.starts_with(prefix))
+            .map(|(k, (v, stamp))| Pair { key: k.clone(), v: v.clone(), stamp: *stamp, permit: None })
+            .collect();
+        Page { pairs, truncated: false, epoch: self.epoch }
+    }
+
+    fn changes(&self, prefix: &str, from: u64) -> Changes {
+        let events = self
+            .log
+            .iter()
+            .filter(|c| c.stamp > from && c.write.as_deref().is_some_and(|k| k.starts_with(prefix)))
+            .cloned()
+            .collect();
+        Changes { epoch: self.epoch, events }
+    }
+}
+
+// ---- workers -----------------------------------------------------------
+
+#[derive(Debug, Clone)]
+pub struct WorkerTask {
+    pub name: String,
+    pub attempt: u64,
+    pub state: TaskState,
+    pub why: Option<Why>,
+    since: Ms,
+}
+
+pub struct Worker {
+    pub id: String,
+    pub zone: String,
+    pub spot: bool,
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    pub tasks: Vec<WorkerTask>,
+    /// When the last answered report was sent, or the session began.
+    leased: Ms,
+    next_report: Ms,
+    changed: bool,
+    /// Its packets go nowhere; it goes on working.
+    pub cut: bool,
+    /// It doesn't execute, nor answer, but may resume.
+    pub hung: bool,
+    pub dead: bool,
+}
+
+impl Worker {
+    fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.id.clone(),
+            addr: "127.0.0.1:9".into(),
+            machine_type: "m".into(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|t| TaskReport {
+                    task: t.name.clone(),
+                    attempt: t.attempt,
+                    state: t.state,
+                    why: t.why,
+                    saved: (t.why == Some(Why::Stopped)).then_some(true),
+                })
+                .collect(),
+        }
+    }
+}
+
+pub struct JobFacts {
+    pub sub: Submission,
+    pub cancelled_at: Option<Ms>,
+    pub run_ms: Ms,
+}
+
+/// A command or report that arrives later than it was sent.
+pub enum Held {
+    Do { worker: usize, req: DoRequest },
+    Report(Report),
+    Txn(Txn),
+}
+
+/// What happens to messages, decided anew for each.
+#[derive(Clone, Copy, Default)]
+pub struct Weather {
+    /// In a hundred: the answer to a command is lost; the command is executed later.
+    pub late_do: u32,
+    /// A command never arrives.
+    pub lost_do: u32,
+    /// The answer to a transaction is lost; half of those are applied at once,
+    /// half later.
+    pub lost_txn: u32,
+    /// The answer to a report is lost.
+    pub lost_answer: u32,
+    /// A report also arrives a second time, late.
+    pub late_report: u32,
+    /// A rental's answer is lost.
+    pub lost_rent: u32,
+}
+
+pub struct World {
+    pub now: Ms,
+    pub rng: SmallRng,
+    pub store: Store,
+    pub workers: Vec<Worker>,
+    pub jobs: HashMap<String, JobFacts>,
+    pub leader: Option<Leader>,
+    pub mirror: Mirror,
+    pub tables: Tables,
+    pub held: Vec<(Ms, Held)>,
+    pub weather: Weather,
+    /// Tasks that completed; started again, they end at once.
+    pub completed: std::collections::HashSet<String>,
+    pub asks: HashMap<String, Vec<String>>,
+    pub asked_in: Vec<(u64, String)>,
+    /// Machines the cloud still has to give.
+    pub capacity: u32,
+    pub broken: Vec<String>,
+    pub starts: usize,
+    pub team_gpus_max: f64,
+    /// The leader dies just before, or just after, its next transaction.
+    pub die_before_txn: bool,
+    pub die_after_txn: bool,
+    pub txns: usize,
+    pub halts_seen: Vec<(Ms, String, f64)>,
+}
+
+pub fn sub(id: &str, kind: &str, tasks: u32) -> Submission {
+    Submission {
+        name_id: Some(id.into()),
+        class: Some("c".into()),
+        team: Some("red".into()),
+        kind: Some(kind.into()),
+        priority: Some("normal".into()),
+        tasks: Some(f64::from(tasks)),
+        cpus: Some(2.0),
+        gpus: Some(0.0),
+        memory_gb: Some(1.0),
+        image: Some("img".into()),
+        image_gb: Some(1.0),
+        one_zone: Some(false),
+        spread: Some(false),
+        spot: Some(true),
+        estimate_s: Some(10.0),
+        checkpoint_s: Some(0.0),
+        save_s: Some(0.0),
+        ..Submission::default()
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, workers: usize) -> World {
+        let mut w = World {
+            now: 1_000,
+            rng: SmallRng::seed_from_u64(seed),
+            store: Store::default(),
+            workers: Vec::new(),
+            jobs: HashMap::new(),
+            leader: None,
+            mirror: Mirror::default(),
+            tables: Tables::default(),
+            held: Vec::new(),
+            weather: Weather::default(),
+            completed: Default::default(),
+            asks: HashMap::new(),
+            asked_in: Vec::new(),
+            capacity: 0,
+            broken: Vec::new(),
+            starts: 0,
+            team_gpus_max: 0.0,
+            die_before_txn: false,
+            die_after_txn: false,
+            txns: 0,
+            halts_seen: Vec::new(),
+        };
+        w.tables.teams.intern("red");
+        w.tables.types.intern("m");
+        for z in ["a", "b"] {
+            w.tables.zones.intern(z);
+        }
+        for n in 0..workers {
+            w.add_worker(if n % 2 == 0 { "a" } else { "b" });
+        }
+        w
+    }
+
+    pub fn add_worker(&mut self, zone: &str) -> String {
+        let id = format!("i-{:06}", self.workers.len());
+        self.workers.push(Worker {
+            id: id.clone(),
+            zone: zone.into(),
+            spot: false,
+            session: 1,
+            seq: 0,
+            token: 0,
+            tasks: Vec::new(),
+            leased: self.now,
+            next_report: self.now + 100 * self.workers.len() as Ms,
+            changed: false,
+            cut: false,
+            hung: false,
+            dead: false,
+        });
+        id
+    }
+
+    fn types(&self) -> Vec<TypeInfo> {
+        vec![TypeInfo {
+            ix: self.tables.types.find("m").unwrap(),
+            cap: Res { cpus: 8.0, gpus: 4.0, memory_gb: 64.0 },
+            cache_gb: 50.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 0.5,
+            boot_s: 5.0,
+            zones: vec![self.tables.zones.find("a").unwrap(), self.tables.zones.find("b").unwrap()],
+        }]
+    }
+
+    /// A new leader: the key changes hands, whatever the old one had under way.
+    pub fn elect(&mut self) {
+        self.leader = None;
+        self.store.epoch += 1;
+        let stamp = self.store.epoch;
+        self.store.keys.insert(records::LEADER.into(), (Value::Null, stamp));
+        let cfg = Config {
+            lease_ms: LEASE,
+            report_ms: REPORT,
+            gang_peer_s: 8.0,
+            txn_ops: 8,
+            list_lag_ms: 1_000,
+            teams: vec![TeamLimits {
+                gpus_max: (self.team_gpus_max > 0.0).then_some(self.team_gpus_max),
+                ..TeamLimits::default()
+            }],
+            aims: Vec::new(),
+            idle_keep_ms: 1 << 40,
+            silent_ms: 1 << 40,
+            max_machines: usize::MAX,
+            use_spot: true,
+        };
+        let nonce = self.rng.random();
+        let mut leader = Leader::new(cfg, stamp, nonce, self.now, self.types());
+        self.mirror = Mirror::default();
+        self.mirror.page(&self.store.page(records::JOBS), true, &mut self.tables);
+        self.mirror.take_changed();
+        for p in self.store.page(records::TASKS).pairs {
+            leader.load(self.now, self.now, &p.key, &p.v, p.stamp, &self.mirror, &mut self.tables);
+        }
+        leader.loaded(self.now, self.now, &self.mirror);
+        self.leader = Some(leader);
+    }
+
+    pub fn submit(&mut self, sub: Submission, run_ms: Ms) {
+        let id = sub.name_id.clone().unwrap();
+        let rec = JobRecord { submission: sub.clone(), status: Status::Pending, at_ms: self.now, chunk: 4 };
+        let txn = Txn {
+            conditions: vec![],
+            writes: vec![Op::Put { key: records::job_key(&id), v: records::to_value(&rec), permit: None }],
+        };
+        self.store.apply(&txn).unwrap();
+        self.jobs.insert(id, JobFacts { sub, cancelled_at: None, run_ms });
+    }
+
+    /// A user's abort, answered: true when cancelled, false when done before.
+    pub fn cancel(&mut self, id: &str) -> bool {
+        let key = records::job_key(id);
+        let mut rec: JobRecord = self.store.keys[&key].0.deserialized().unwrap();
+        if rec.status == Status::Done {
+            return false;
+        }
+        rec.status = Status::Cancelled;
+        let txn =
+            Txn { conditions: vec![], writes: vec![Op::Put { key, v: records::to_value(&rec), permit: None }] };
+        self.store.apply(&txn).unwrap();
+        self.jobs.get_mut(id).unwrap().cancelled_at = Some(self.now);
+        true
+    }
+
+    pub fn status(&self, id: &str) -> Status {
+        let rec: JobRecord = self.store.keys[&records::job_key(id)].0.deserialized().unwrap();
+        rec.status
+    }
+
+    pub fn run(&mut self, ms: Ms) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until `f`, or fails the case.
+    pub fn until(&mut self, what: &str, max: Ms, f: impl Fn(&World) -> bool) {
+        let end = self.now + max;
+        while !f(self) {
+            assert!(self.now < end, "never came: {what}");
+            self.step();
+        }
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        percent > 0 && self.rng.random_range(0..100) < percent
+    }
+
+    pub fn step(&mut self) {
+        self.now += STEP;
+        self.deliver_held();
+        for n in 0..self.workers.len() {
+            self.advance(n);
+        }
+        self.judge();
+        self.lead();
+    }
+
+    fn deliver_held(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.held).into_iter().partition(|(at, _)| *at <= now);
+        self.held = later;
+        for (_, h) in due {
+            match h {
+                Held::Do { worker, req } => {
+                    if self.workers[worker].hung {
+                        self.held.push((now + 1_000, Held::Do { worker, req }));
+                    } else {
+                        self.execute_do(worker, &req);
+                    }
+                }
+                Held::Report(r) => {
+                    if let Some(l) = &mut self.leader {
+                        // Whatever is answered, nobody listens any more.
+                        l.report(now, &r, &self.mirror, &mut self.tables);
+                    }
+                }
+                Held::Txn(txn) => {
+                    let _ = self.store.apply(&txn);
+                }
+            }
+        }
+    }
+
+    // ---- workers' side -------------------------------------------------
+
+    fn facts(&self, task: &str) -> Option<&JobFacts> {
+        self.jobs.get(split_task(task)?.0)
+    }
+
+    fn advance(&mut self, n: usize) {
+        let now = self.now;
+        if self.workers[n].dead || self.workers[n].hung {
+            if self.workers[n].hung {
+                self.expire(n);
+            }
+            return;
+        }
+        self.expire(n);
+        for t in 0..self.workers[n].tasks.len() {
+            let task = self.workers[n].tasks[t].clone();
+            let Some(run) = self.facts(&task.name).map(|f| f.run_ms) else { continue };
+            let (state, why) = match task.state {
+                TaskState::Fetching if now >= task.since + FETCH => {
+                    if self.completed.contains(&task.name) {
+                        (TaskState::Exited, Some(Why::Done))
+                    } else {
+                        (TaskState::Running, None)
+                    }
+                }
+                TaskState::Running if run > 0 && now >= task.since + run => {
+                    self.completed.insert(task.name.clone());
+                    (TaskState::Exited, Some(Why::Done))
+                }
+                _ => continue,
+            };
+            if state == TaskState::Running {
+                self.judge_start(n, &task.name);
+            }
+            let w = &mut self.workers[n];
+            w.tasks[t] = WorkerTask { state, why, since: now, ..task };
+            w.changed = true;
+        }
+        let w = &mut self.workers[n];
+        if now >= w.next_report || (w.changed && now + REPORT >= w.next_report + 500) {
+            w.next_report = now + REPORT;
+            w.changed = false;
+            self.send_report(n);
+        }
+    }
+
+    fn expire(&mut self, n: usize) {
+        let w = &mut self.workers[n];
+        if self.now > w.leased + LEASE {
+            w.tasks.clear();
+            w.session += 1;
+            w.leased = self.now;
+            w.changed = true;
+        }
+    }
+
+    fn send_report(&mut self, n: usize) {
+        let sent = self.now;
+        let r = self.workers[n].report();
+        if self.workers[n].cut {
+            return;
+        }
+        if self.chance(self.weather.late_report) {
+            let at = sent + self.rng.random_range(1_000..60_000);
+            self.held.push((at, Held::Report(r.clone())));
+        }
+        let Some(l) = &mut self.leader else { return };
+        let Answer::Ok(a) = l.report(sent, &r, &self.mirror, &mut self.tables) else { return };
+        if self.chance(self.weather.lost_answer) {
+            return;
+        }
+        let w = &mut self.workers[n];
+        if a.token < w.token {
+            return;
+        }
+        w.changed |= a.token > w.token;
+        w.token = a.token;
+        w.leased = sent;
+        self.obey(n, &a.orders);
+    }
+
+    fn execute_do(&mut self, n: usize, req: &DoRequest) -> DoOutcome {
+        let w = &mut self.workers[n];
+        if req.token < w.token || req.session != w.session {
+            return DoOutcome::Refused(w.report());
+        }
+        w.token = req.token;
+        self.obey(n, &req.orders);
+        DoOutcome::Executed(self.workers[n].report())
+    }
+
+    fn obey(&mut self, n: usize, orders: &[Order]) {
+        for o in orders {
+            let w = &mut self.workers[n];
+            match o {
+                Order::Launch { task, attempt } => {
+                    if w.tasks.iter().any(|t| t.name == *task && t.attempt == *attempt) {
+                        continue;
+                    }
+                    let live = |t: &&WorkerTask| t.state != TaskState::Exited;
+                    let busy = w.tasks.iter().filter(live).any(|t| t.name == *task);
+                    let full = w.tasks.iter().filter(live).count() >= 4;
+                    let (state, why) = match (busy, full) {
+                        (true, _) => (TaskState::Exited, Some(Why::Busy)),
+                        (_, true) => (TaskState::Exited, Some(Why::NoRoom)),
+                        _ => (TaskState::Fetching, None),
+                    };
+                    w.tasks.push(WorkerTask { name: task.clone(), attempt: *attempt, state, why, since: self.now });
+                    w.changed = true;
+                }
+                Order::Halt { task, attempt, grace_s } => {
+                    let hit = w
+                        .tasks
+                        .iter_mut()
+                        .find(|t| t.name == *task && t.attempt == *attempt && t.state != TaskState::Exited);
+                    if let Some(t) = hit {
+                        t.state = TaskState::Exited;
+                        t.why = Some(Why::Stopped);
+                        w.changed = true;
+                        self.halts_seen.push((self.now, task.clone(), *grace_s));
+                    }
+                }
+                Order::Reap { task, attempt } => {
+                    w.tasks.retain(|t| !(t.name == *task && t.attempt == *attempt && t.state == TaskState::Exited));
+                }
+            }
+        }
+    }
+
+    // ---- the judge -----------------------------------------------------
+
+    fn holds(w: &Worker, task: &str) -> bool {
+        !w.dead && w.tasks.iter().any(|t| t.name == task && matches!(t.state, TaskState::Running | TaskState::Waiting))
+    }
+
+    fn judge_start(&mut self, n: usize, task: &str) {
+        self.starts += 1;
+        let Some((job, _)) = split_task(task) else { return };
+        for (m, w) in self.workers.iter().enumerate() {
+            if m != n && World::holds(w, task) {
+                self.broken.push(format!("ran_twice: {task} on {} and {} at {}", w.id, self.workers[n].id, self.now));
+            }
+        }
+        let f = &self.jobs[job];
+        let here = &self.workers[n].zone;
+        let mut zones: HashMap<&str, u32> = HashMap::new();
+        for w in self.workers.iter().filter(|w| !w.dead) {
+            for t in &w.tasks {
+                if t.name != task && split_task(&t.name).is_some_and(|s| s.0 == job) && World::holds(w, &t.name) {
+                    *zones.entry(&w.zone).or_default() += 1;
+                }
+            }
+        }
+        let cap = (f.sub.tasks.unwrap() as u32).div_ceil(2);
+        if f.sub.one_zone == Some(true) && zones.keys().any(|z| z != here) {
+            self.broken.push(format!("wrong_place: {task} starts in {here} at {}", self.now));
+        }
+        if f.sub.spread == Some(true) && zones.get(here.as_str()).copied().unwrap_or(0) >= cap {
+            self.broken.push(format!("wrong_place: {task} is one too many in {here} at {}", self.now));
+        }
+        if f.sub.zone.as_ref().is_some_and(|z| z != here) {
+            self.broken.push(format!("wrong_place: {task} in {here}"));
+        }
+    }
+
+    fn judge(&mut self) {
+        let mut gpus = 0.0;
+        let mut broken = Vec::new();
+        for w in self.workers.iter().filter(|w| !w.dead) {
+            for t in w.tasks.iter().filter(|t| t.state == TaskState::Running) {
+                let Some(f) = split_task(&t.name).and_then(|s| self.jobs.get(s.0)) else { continue };
+                gpus += f.sub.gpus.unwrap_or(0.0);
+                if f.cancelled_at.is_some_and(|c| self.now > c + CANCEL) {
+                    broken.push(format!("ran_cancelled: {} on {} at {}", t.name, w.id, self.now));
+                }
+            }
+        }
+        if self.team_gpus_max > 0.0 && gpus > self.team_gpus_max {
+            broken.push(format!("quota: {gpus} GPUs at {}", self.now));
+        }
+        self.broken.extend(broken);
+        // not_done: a record may say done only once all its tasks completed.
+        for (id, f) in &self.jobs {
+            if self.status(id) == Status::Done {
+                let all = (0..f.sub.tasks.unwrap() as u32).all(|n| self.completed.contains(&format!("{id}/{n}")));
+                if !all {
+                    self.broken.push(format!("not_done: {id} at {}", self.now));
+                }
+            }
+        }
+    }
+
+    pub fn check(&self, name: &str) {
+        assert!(self.broken.is_empty(), "{name}: {:#?}", &self.broken[..self.broken.len().min(5)]);
+        assert!(self.starts > 0, "{name}: nothing ran");
+    }
+
+    // ---- the leader's side ---------------------------------------------
+
+    fn lead(&mut self) {
+        if self.leader.is_none() {
+            return;
+        }
+        let now = self.now;
+        let changes = self.store.changes(records::JOBS, self.mirror.epoch());
+        self.mirror.apply(&changes, &mut self.tables);
+        let changed = self.mirror.take_changed();
+        let Some(l) = &mut self.leader else { return };
+        for ix in changed {
+            l.job_update(now, now, ix, &self.mirror);
+        }
+        l.expire(now);
+        l.note_idle(now);
+        if self.capacity > 0 {
+            l.fleet_step(now, &self.tables);
+        }
+        l.pass(now);
+        self.commit();
+        let Some(l) = &mut self.leader else { return };
+        l.push_orders(now);
+        for e in l.take_effects() {
+            self.carry_out(e);
+        }
+    }
+
+    fn commit(&mut self) {
+        let now = self.now;
+        let Some(l) = &mut self.leader else { return };
+        if let Some(key) = l.resync_key().map(str::to_owned) {
+            let found = self.store.keys.get(&key).cloned();
+            l.resynced(now, &key, found);
+        }
+        if l.commit_busy() || now < l.commit_after {
+            return;
+        }
+        let Some(txn) = l.commit(8, &self.tables) else { return };
+        self.txns += 1;
+        if std::mem::take(&mut self.die_before_txn) {
+            self.leader = None;
+            return;
+        }
+        if self.chance(self.weather.lost_txn) {
+            if self.rng.random_range(0..2) == 0 {
+                let _ = self.store.apply(&txn);
+            } else {
+                let at = now + self.rng.random_range(100..40_000);
+                self.held.push((at, Held::Txn(txn)));
+            }
+            if let Some(l) = &mut self.leader {
+                l.committed(now, CommitOutcome::Unknown);
+            }
+            return;
+        }
+        let outcome = match self.store.apply(&txn) {
+            Ok(epoch) => CommitOutcome::Done(epoch),
+            Err(failed) => CommitOutcome::Conflict(failed),
+        };
+        if std::mem::take(&mut self.die_after_txn) {
+            self.leader = None;
+            return;
+        }
+        if self.leader.as_mut().is_some_and(|l| !l.committed(now, outcome)) {
+            self.leader = None;
+        }
+    }
+
+    fn carry_out(&mut self, e: Effect) {
+        let now = self.now;
+        match e {
+            Effect::Do { machine, call, req, .. } => {
+                let id = self.leader.as_ref().map(|l| l.machine(machine).id.clone()).unwrap_or_default();
+                let Some(n) = self.workers.iter().position(|w| w.id == id) else { return };
+                let out = if self.workers[n].dead || self.workers[n].cut || self.workers[n].hung {
+                    if self.workers[n].hung {
+                        self.held.push((now + 1_000, Held::Do { worker: n, req }));
+                    }
+                    DoOutcome::Unknown
+                } else if self.chance(self.weather.late_do) {
+                    let at = now + self.rng.random_range(200..90_000);
+                    self.held.push((at, Held::Do { worker: n, req }));
+                    DoOutcome::Unknown
+                } else if self.chance(self.weather.lost_do) {
+                    DoOutcome::Unknown
+                } else {
+                    self.execute_do(n, &req)
+                };
+                if let Some(l) = &mut self.leader {
+                    l.do_result(now, machine, call, out, &self.mirror, &mut self.tables);
+                }
+            }
+            Effect::Rent { call, req } => {
+                let names = self.rent(&req);
+                let lost = self.chance(self.weather.lost_rent);
+                if let Some(l) = &mut self.leader {
+                    let out = match names {
+                        _ if lost => RentOutcome::Again,
+                        Some(n) => RentOutcome::Rented(n),
+                        None => RentOutcome::NoCapacity,
+                    };
+                    l.rented(now, call, out);
+                }
+            }
+            Effect::Return { call, ids } => {
+                for w in &mut self.workers {
+                    if ids.contains(&w.id) {
+                        w.dead = true;
+                        w.tasks.clear();
+                    }
+                }
+                if let Some(l) = &mut self.leader {
+                    l.returned(now, call, true);
+                }
+            }
+            Effect::List { call, .. } => {
+                let hosts = self
+                    .workers
+                    .iter()
+                    .filter(|w| !w.dead)
+                    .map(|w| ListedHost {
+                        id: w.id.clone(),
+                        addr: None,
+                        machine_type: "m".into(),
+                        zone: w.zone.clone(),
+                        spot: w.spot,
+                        state: HostState::Running,
+                        age_s: 1.0,
+                    })
+                    .collect();
+                let list = HostList { hosts, truncated: false };
+                if let Some(l) = &mut self.leader {
+                    l.listed(now, call, Some(&list), &mut self.tables);
+                }
+            }
+        }
+    }
+
+    fn rent(&mut self, req: &RentRequest) -> Option<Vec<String>> {
+        let stamp = self.leader.as_ref().map_or(0, |l| l.stamp);
+        self.asked_in.push((stamp, req.request.clone()));
+        if let Some(same) = self.asks.get(&req.request) {
+            return Some(same.clone());
+        }
+        let n = req.count.min(self.capacity);
+        if n == 0 {
+            return None;
+        }
+        self.capacity -= n;
+        let ids: Vec<String> = (0..n).map(|_| self.add_worker(&req.zone)).collect();
+        for w in self.workers.iter_mut().filter(|w| ids.contains(&w.id)) {
+            w.spot = req.spot;
+        }
+        self.asks.insert(req.request.clone(), ids.clone());
+        Some(ids)
+    }
+
+    /// Where a task is, by worker number.
+    pub fn where_is(&self, task: &str) -> Option<usize> {
+        self.workers.iter().position(|w| World::holds(w, task))
+    }
+
+    pub fn any(&mut self, n: usize) -> usize {
+        self.rng.random_range(0..n)
+    }
+}
