--- /dev/null
+++ b/tests/loopback.rs
@@ -0,0 +1,510 @@
+//! Three real controllers on loopback, against stand-ins for the state
+//! service, the cloud and one worker: answers, a leader's death, a restart of all.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Mutex,
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use ciborium::{cbor, Value};
+use shedhook::{
+    protocol::{
+        cbor as body,
+        store::{Change, Changes, Op, Pair, Txn},
+        workers::{DoRequest, Order, Report, ReportAnswer, TaskReport, TaskState, Why},
+    },
+    transport::http::{parse_reply, parse_request, write_reply, write_request, Parsed},
+};
+
+type Answer = (u16, Vec<u8>);
+
+/// Serves until the test process ends; one thread a connection.
+fn serve(handler: impl Fn(&str, &str, &[u8]) -> Answer + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let handler = Arc::new(handler);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let handler = handler.clone();
+            thread::spawn(move || talk(stream, &*handler));
+        }
+    });
+    addr
+}
+
+fn talk(mut stream: TcpStream, handler: &dyn Fn(&str, &str, &[u8]) -> Answer) {
+    let mut buf = Vec::new();
+    let mut part = [0; 8192];
+    loop {
+        match parse_request(&buf) {
+            Ok(Parsed::Whole(req, used)) => {
+                buf.drain(..used);
+                let (status, bytes) = handler(&req.method, &req.path, &req.body);
+                let mut out = Vec::new();
+                write_reply(&mut out, status, None, &bytes, false);
+                if stream.write_all(&out).is_err() {
+                    return;
+                }
+            }
+            Ok(Parsed::Partial) => match stream.read(&mut part) {
+                Ok(n) if n > 0 => buf.extend_from_slice(&part[..n]),
+                _ => return,
+            },
+            Err(_) => return,
+        }
+    }
+}
+
+fn call(to: SocketAddr, method: &str, path: &str, bytes: &[u8]) -> Option<Answer> {
+    let mut s = TcpStream::connect_timeout(&to, Duration::from_millis(500)).ok()?;
+    s.set_read_timeout(Some(Duration::from_secs(3))).ok()?;
+    let mut out = Vec::new();
+    write_request(&mut out, method, path, "test", bytes);
+    s.write_all(&out).ok()?;
+    let mut buf = Vec::new();
+    let mut part = [0; 8192];
+    loop {
+        match parse_reply(&buf) {
+            Ok(Parsed::Whole(r, _)) => return Some((r.status, r.body)),
+            Ok(Parsed::Partial) => match s.read(&mut part) {
+                Ok(n) if n > 0 => buf.extend_from_slice(&part[..n]),
+                _ => return None,
+            },
+            Err(_) => return None,
+        }
+    }
+}
+
+// ---- state service -------------------------------------------------------
+
+#[derive(Default)]
+struct Store {
+    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    epoch: u64,
+    log: Vec<Change>,
+    grants: BTreeMap<u64, (Instant, Duration)>,
+}
+
+impl Store {
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let over: Vec<u64> = self.grants.iter().filter(|(_, g)| now > g.0).map(|(id, _)| *id).collect();
+        for id in over {
+            self.end(id);
+        }
+    }
+
+    fn end(&mut self, id: u64) {
+        self.grants.remove(&id);
+        let keys: Vec<String> = self.keys.iter().filter(|(_, k)| k.2 == Some(id)).map(|(k, _)| k.clone()).collect();
+        for key in keys {
+            self.epoch += 1;
+            self.keys.remove(&key);
+            self.log.push(Change { write: None, drop: Some(key), v: None, stamp: self.epoch });
+        }
+    }
+
+    fn txn(&mut self, txn: Txn) -> Answer {
+        let lost = |op: &Op| matches!(op, Op::Put { permit: Some(p), .. } if !self.grants.contains_key(p));
+        if txn.writes.iter().any(lost) {
+            return (400, body::encode(&cbor!({"error" => "no such lease"}).unwrap()));
+        }
+        let stamp_of = |key: &str| self.keys.get(key).map_or(0, |k| k.1);
+        let failed: Vec<String> =
+            txn.conditions.iter().filter(|c| stamp_of(&c.key) != c.stamp).map(|c| c.key.clone()).collect();
+        if !failed.is_empty() {
+            return (409, body::encode(&cbor!({"failed" => failed, "epoch" => self.epoch}).unwrap()));
+        }
+        self.epoch += 1;
+        let stamp = self.epoch;
+        for op in txn.writes {
+            let change = match op {
+                Op::Put { key, v, permit } => {
+                    self.keys.insert(key.clone(), (v.clone(), stamp, permit));
+                    Change { write: Some(key), drop: None, v: Some(v), stamp }
+                }
+                Op::Delete { key } => {
+                    self.keys.remove(&key);
+                    Change { write: None, drop: Some(key), v: None, stamp }
+                }
+            };
+            self.log.push(change);
+        }
+        (200, body::encode(&cbor!({"epoch" => stamp}).unwrap()))
+    }
+}
+
+fn query<'a>(path: &'a str, name: &str) -> Option<&'a str> {
+    path.split_once('?')?.1.split('&').find_map(|p| p.split_once('=').filter(|(k, _)| *k == name).map(|(_, v)| v))
+}
+
+fn state_service() -> SocketAddr {
+    let store = Arc::new(Mutex::new(Store::default()));
+    serve(move |method, path, bytes| {
+        let mut s = store.lock().unwrap();
+        s.expire();
+        let plain = path.split('?').next().unwrap();
+        if plain == "/multi" {
+            return s.txn(body::decode(bytes).unwrap());
+        }
+        if plain == "/grants" {
+            let ask: shedhook::protocol::store::GrantRequest = body::decode(bytes).unwrap();
+            s.epoch += 1;
+            let (id, ttl) = (s.epoch, Duration::from_millis(ask.ttl_ms));
+            s.grants.insert(id, (Instant::now() + ttl, ttl));
+            return (200, body::encode(&cbor!({"permit" => id}).unwrap()));
+        }
+        if let Some(rest) = plain.strip_prefix("/grants/") {
+            let id: u64 = rest.split('/').next().unwrap().parse().unwrap();
+            if method == "DELETE" {
+                s.end(id);
+                return (200, Vec::new());
+            }
+            return match s.grants.get_mut(&id) {
+                Some(g) => {
+                    g.0 = Instant::now() + g.1;
+                    (200, body::encode(&cbor!({"permit" => id}).unwrap()))
+                }
+                None => (404, Vec::new()),
+            };
+        }
+        let prefix = query(path, "under").unwrap_or("");
+        if plain == "/store" {
+            let from = query(path, "from").unwrap_or("");
+            let pairs: Vec<Pair> = s
+                .keys
+                .iter()
+                .filter(|(k, _)| k.starts_with(prefix) && k.as_str() > from)
+                .map(|(k, v)| Pair { key: k.clone(), v: v.0.clone(), stamp: v.1, permit: v.2 })
+                .collect();
+            let page = shedhook::protocol::store::Page { pairs, truncated: false, epoch: s.epoch };
+            return (200, body::encode(&page));
+        }
+        if plain == "/changes" {
+            let from: u64 = query(path, "from").unwrap().parse().unwrap();
+            let wait: u64 = query(path, "waitMs").map_or(0, |w| w.parse().unwrap());
+            let until = Instant::now() + Duration::from_millis(wait);
+            loop {
+                let touches = |c: &&Change| c.write.as_ref().or(c.drop.as_ref()).is_some_and(|k| k.starts_with(prefix));
+                let events: Vec<Change> = s.log.iter().filter(|c| c.stamp > from).filter(touches).cloned().collect();
+                if !events.is_empty() || Instant::now() >= until {
+                    return (200, body::encode(&Changes { epoch: s.epoch, events }));
+                }
+                drop(s);
+                thread::sleep(Duration::from_millis(10));
+                s = store.lock().unwrap();
+                s.expire();
+            }
+        }
+        (404, Vec::new())
+    })
+}
+
+// ---- cloud and worker ------------------------------------------------------
+
+fn cloud(worker: SocketAddr) -> SocketAddr {
+    serve(move |method, path, _| match (method, path.split('?').next().unwrap()) {
+        ("GET", "/flavors") => {
+            let t = cbor!({"name" => "m", "cpus" => 8, "cards" => 0, "memoryGb" => 32, "localGb" => 50,
+                "pullGbPerS" => 1.0, "price" => 1.0, "spotPrice" => 0.5, "readyS" => 5, "yards" => ["a"]});
+            (200, body::encode(&cbor!({"breeds" => [t.unwrap()]}).unwrap()))
+        }
+        ("GET", "/hosts") => {
+            let h = cbor!({"nameId" => "i-000001", "endpoint" => worker.to_string(), "breed" => "m", "yard" => "a",
+                "loaners" => false, "status" => "running", "heldS" => 100.0});
+            (200, body::encode(&cbor!({"hosts" => [h.unwrap()], "truncated" => false}).unwrap()))
+        }
+        ("POST", "/hosts") => (503, body::encode(&cbor!({"error" => "no capacity"}).unwrap())),
+        _ => (200, Vec::new()),
+    })
+}
+
+struct Worker {
+    addr: SocketAddr,
+    seq: u64,
+    token: u64,
+    tasks: Vec<(TaskReport, Instant)>,
+}
+
+impl Worker {
+    fn report(&mut self) -> Report {
+        self.seq += 1;
+        for (t, since) in &mut self.tasks {
+            // j-000001: its tasks take a moment. Everything else runs on.
+            if t.state == TaskState::Running && t.task.starts_with("j-00000") && since.elapsed().as_millis() > 300 {
+                t.state = TaskState::Exited;
+                t.why = Some(Why::Done);
+            }
+        }
+        Report {
+            machine: "i-000001".into(),
+            addr: self.addr.to_string(),
+            machine_type: "m".into(),
+            zone: "a".into(),
+            spot: false,
+            session: 1,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self.tasks.iter().map(|t| t.0.clone()).collect(),
+        }
+    }
+
+    fn obey(&mut self, token: u64, orders: &[Order]) {
+        self.token = token;
+        for o in orders {
+            let same = |t: &TaskReport, task: &str, attempt: u64| t.task == task && t.attempt == attempt;
+            match o {
+                Order::Launch { task, attempt } => {
+                    if !self.tasks.iter().any(|(t, _)| same(t, task, *attempt)) {
+                        let t = TaskReport {
+                            task: task.clone(),
+                            attempt: *attempt,
+                            state: TaskState::Running,
+                            why: None,
+                            saved: None,
+                        };
+                        self.tasks.push((t, Instant::now()));
+                    }
+                }
+                Order::Halt { task, attempt, .. } => {
+                    for (t, _) in &mut self.tasks {
+                        if same(t, task, *attempt) && t.state == TaskState::Running {
+                            t.state = TaskState::Exited;
+                            t.why = Some(Why::Stopped);
+                        }
+                    }
+                }
+                Order::Reap { task, attempt } => self.tasks.retain(|(t, _)| !same(t, task, *attempt)),
+            }
+        }
+    }
+}
+
+fn worker(nodes: Arc<Mutex<Vec<SocketAddr>>>, stop: Arc<AtomicBool>) -> (SocketAddr, Arc<Mutex<Worker>>) {
+    let state = Arc::new(Mutex::new(Worker { addr: "127.0.0.1:1".parse().unwrap(), seq: 0, token: 0, tasks: vec![] }));
+    let shared = state.clone();
+    let addr = serve(move |_, path, bytes| {
+        let mut w = shared.lock().unwrap();
+        if path == "/do" {
+            let req: DoRequest = body::decode(bytes).unwrap();
+            if req.token < w.token || req.session != 1 {
+                return (409, body::encode(&w.report()));
+            }
+            w.obey(req.token, &req.orders);
+        }
+        (200, body::encode(&w.report()))
+    });
+    state.lock().unwrap().addr = addr;
+    let shared = state.clone();
+    thread::spawn(move || {
+        let mut at = 0;
+        while !stop.load(Ordering::Relaxed) {
+            thread::sleep(Duration::from_millis(150));
+            let nodes = nodes.lock().unwrap().clone();
+            if nodes.is_empty() {
+                continue;
+            }
+            let report = shared.lock().unwrap().report();
+            match call(nodes[at % nodes.len()], "POST", "/checkin", &body::encode(&report)) {
+                Some((200, bytes)) => {
+                    let a: ReportAnswer = body::decode(&bytes).unwrap();
+                    let mut w = shared.lock().unwrap();
+                    if a.token >= w.token {
+                        w.obey(a.token, &a.orders);
+                    }
+                }
+                _ => at += 1,
+            }
+        }
+    });
+    (addr, state)
+}
+
+// ---- the controllers -------------------------------------------------------
+
+fn free_port() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+struct Node {
+    client: SocketAddr,
+    file: PathBuf,
+    child: Option<Child>,
+}
+
+impl Node {
+    fn start(&mut self) {
+        let child = Command::new(env!("CARGO_BIN_EXE_shedhook"))
+            .arg("--config")
+            .arg(&self.file)
+            .env("LOG_LEVEL", "error")
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap();
+        self.child = Some(child);
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut c) = self.child.take() {
+            let _ = c.kill();
+            let _ = c.wait();
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn wait_for<T>(what: &str, mut f: impl FnMut() -> Option<T>) -> T {
+    let until = Instant::now() + Duration::from_secs(40);
+    loop {
+        if let Some(x) = f() {
+            return x;
+        }
+        assert!(Instant::now() < until, "never came: {what}");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn job(id: &str, kind: &str, tasks: u32) -> Vec<u8> {
+    body::encode(
+        &cbor!({"nameId" => id, "lane" => "c", "owner" => "red", "shape" => kind, "rank" => "normal",
+            "pieces" => tasks, "cpus" => 1, "cards" => 0, "memoryGb" => 1.0, "bundle" => "img", "imageGb" => 0.1,
+            "breeds" => null, "yard" => null, "samePlace" => false, "scatter" => false, "loaners" => true,
+            "guessS" => 1.0, "bookmarkS" => 0.0, "stashS" => 0.0, "dueS" => null})
+        .unwrap(),
+    )
+}
+
+fn status(to: SocketAddr, id: &str) -> Option<String> {
+    let (code, bytes) = call(to, "GET", &format!("/api/jobs/{id}"), &[])?;
+    if code != 200 {
+        return None;
+    }
+    let v: Value = body::decode(&bytes).ok()?;
+    let word = v.as_map()?.iter().find(|(k, _)| k.as_text() == Some("status"))?.1.as_text()?.to_owned();
+    Some(word)
+}
+
+#[test]
+fn three_controllers_serve_fail_and_return() {
+    let state = state_service();
+    let addrs = Arc::new(Mutex::new(Vec::new()));
+    let stop = Arc::new(AtomicBool::new(false));
+    let (worker_addr, worker_state) = worker(addrs.clone(), stop.clone());
+    let cloud = cloud(worker_addr);
+    let dir = std::env::temp_dir().join(format!("shedhook-loopback-{}", std::process::id()));
+    fs::create_dir_all(&dir).unwrap();
+    let ports: Vec<(SocketAddr, SocketAddr)> = (0..3).map(|_| (free_port(), free_port())).collect();
+    let mut nodes: Vec<Node> = (0..3)
+        .map(|n| {
+            let mut text = format!(
+                "label = \"n-{n}\"\ndomain = \"a\"\nclient_listen = \"{}\"\ncluster_listen = \"{}\"\n",
+                ports[n].0, ports[n].1
+            );
+            for m in (0..3).filter(|m| *m != n) {
+                text += &format!("[[seeds]]\nlabel = \"n-{m}\"\ndomain = \"a\"\nendpoint = \"{}\"\n", ports[m].1);
+            }
+            text += &format!("[outside]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n");
+            text += "[cluster]\nzones = [\"a\"]\n[[cluster.teams]]\nname = \"red\"\n\
+                [cluster.workers]\nreport_s = 0.3\nlease_s = 30\ngang_wait_s = 40\ngang_peer_s = 8\ncancel_s = 50\n\
+                [cluster.state]\nrps = 1000\nwrite_rps = 500\nvalue_kb = 16\ntxn_ops = 24\n\
+                [cluster.cloud]\nrps = 50\nlist_lag_s = 1\n[cluster.limits]\nsockets = 500\n";
+            let file = dir.join(format!("n-{n}.toml"));
+            fs::write(&file, text).unwrap();
+            Node { client: ports[n].0, file, child: None }
+        })
+        .collect();
+    for n in &mut nodes {
+        n.start();
+    }
+    *addrs.lock().unwrap() = nodes.iter().map(|n| n.client).collect();
+    for n in &nodes {
+        wait_for("ready", || (call(n.client, "GET", "/ready", &[])?.0 == 200).then_some(()));
+    }
+    let first = nodes[0].client;
+
+    // What can't be taken is told at once, and how.
+    let huge = vec![0u8; 70_000];
+    let unknown_team = {
+        let mut v: Value = body::decode(&job("j-000009", "batch", 1)).unwrap();
+        for (k, x) in v.as_map_mut().unwrap() {
+            if k.as_text() == Some("owner") {
+                *x = Value::Text("nobody".into());
+            }
+        }
+        body::encode(&v)
+    };
+    let cases: &[(&str, &str, &[u8], u16)] = &[
+        ("POST", "/api/jobs", b"nonsense", 400),
+        ("POST", "/api/jobs", &huge, 413),
+        ("POST", "/api/jobs", &unknown_team, 422),
+        ("PUT", "/api/jobs", b"", 405),
+        ("GET", "/api/jobs/j-999999", b"", 404),
+        ("POST", "/api/jobs/j-999999/abort", b"", 404),
+        ("GET", "/nowhere", b"", 404),
+    ];
+    for (method, path, bytes, want) in cases {
+        assert_eq!(call(first, method, path, bytes).map(|a| a.0), Some(*want), "{method} {path}");
+    }
+
+    // A job is taken once, whoever is asked, and done for everybody.
+    assert_eq!(call(first, "POST", "/api/jobs", &job("j-000001", "batch", 3)).map(|a| a.0), Some(201));
+    for n in &nodes {
+        assert_eq!(call(n.client, "POST", "/api/jobs", &job("j-000001", "batch", 3)).map(|a| a.0), Some(200));
+    }
+    for n in &nodes {
+        wait_for("done", || (status(n.client, "j-000001")? == "done").then_some(()));
+    }
+
+    // A service runs, survives its leader, and ends when it is told to.
+    assert_eq!(call(first, "POST", "/api/jobs", &job("j-100001", "service", 2)).map(|a| a.0), Some(201));
+    wait_for("running", || (status(first, "j-100001")? == "running").then_some(()));
+    let leader = wait_for("a leader", || {
+        let report = worker_state.lock().unwrap().report();
+        nodes.iter().position(|n| {
+            call(n.client, "POST", "/checkin", &body::encode(&report)).is_some_and(|a| a.0 == 200)
+        })
+    });
+    nodes[leader].kill();
+    let other = nodes[(leader + 1) % 3].client;
+    assert_eq!(
+        wait_for("accepted", || call(other, "POST", "/api/jobs", &job("j-000002", "batch", 2)).map(|a| a.0)),
+        201
+    );
+    wait_for("done under the next leader", || (status(other, "j-000002")? == "done").then_some(()));
+    let running = |w: &Worker| w.tasks.iter().filter(|(t, _)| t.state == TaskState::Running).count();
+    assert_eq!(running(&worker_state.lock().unwrap()), 2, "replicas went on");
+    assert_eq!(call(other, "POST", "/api/jobs/j-100001/abort", &[]).map(|a| a.0), Some(200));
+    wait_for("replicas gone", || (running(&worker_state.lock().unwrap()) == 0).then_some(()));
+
+    // All gone and back: nothing is forgotten.
+    for n in &mut nodes {
+        n.kill();
+    }
+    for n in &mut nodes {
+        n.start();
+    }
+    for n in &nodes {
+        wait_for("ready again", || (call(n.client, "GET", "/ready", &[])?.0 == 200).then_some(()));
+        assert_eq!(status(n.client, "j-000001").as_deref(), Some("done"));
+        assert_eq!(status(n.client, "j-100001").as_deref(), Some("cancelled"));
+        assert_eq!(call(n.client, "POST", "/api/jobs", &job("j-000002", "batch", 2)).map(|a| a.0), Some(200));
+    }
+    stop.store(true, Ordering::Relaxed);
+    let _ = fs::remove_dir_all(&dir);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -9,7 +9,7 @@
 use shedhook::{
     bookkeeping::{
         mirror::Mirror,
-        records::{self, JobRecord, Status},
+        records::{self, ChunkRecord, JobRecord, Status},
     },
     coordination::{
         fleet::RentOutcome,
@@ -487,6 +487,8 @@
         }
         let Some(l) = &mut self.leader else { return };
         let Answer::Ok(a) = l.report(sent, &r, &self.mirror, &mut self.tables) else { return };
+        let id = self.workers[n].id.clone();
+        self.judge_orders(&id, &a.orders);
         if self.chance(self.weather.lost_answer) {
             return;
         }
@@ -550,6 +552,20 @@
 
     // ---- the judge -----------------------------------------------------
 
+    /// Our own rule: no launch is sent before the place is written.
+    fn judge_orders(&mut self, worker: &str, orders: &[Order]) {
+        for o in orders {
+            let Order::Launch { task, attempt } = o else { continue };
+            let Some((job, n)) = split_task(task) else { continue };
+            let key = records::chunk_key(job, n / 4);
+            let rec = self.store.keys.get(&key).and_then(|(v, _)| v.deserialized::<ChunkRecord>().ok());
+            let written = rec.is_some_and(|r| r.places.iter().any(|p| p.0 == n && p.1 == worker && p.3 == *attempt));
+            if !written {
+                self.broken.push(format!("unwritten: {task} launched on {worker} at {}", self.now));
+            }
+        }
+    }
+
     fn holds(w: &Worker, task: &str) -> bool {
         !w.dead && w.tasks.iter().any(|t| t.name == task && matches!(t.state, TaskState::Running | TaskState::Waiting))
     }
@@ -691,6 +707,7 @@
             Effect::Do { machine, call, req, .. } => {
                 let id = self.leader.as_ref().map(|l| l.machine(machine).id.clone()).unwrap_or_default();
                 let Some(n) = self.workers.iter().position(|w| w.id == id) else { return };
+                self.judge_orders(&id, &req.orders);
                 let out = if self.workers[n].dead || self.workers[n].cut || self.workers[n].hung {
                     if self.workers[n].hung {
                         self.held.push((now + 1_000, Held::Do { worker: n, req }));
