Reaps raise the worker's token: a repeated launch can't follow them

Found by a case of our own (repeated command after the reap): a copy of a command that was carried out came after its task was reaped and ran elsewhere, and started it again.

--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -300,7 +300,11 @@
         let Some(job) = self.job(job) else { return 0.0 };
         let need = Res::of(&job.spec);
         let slot = |t: &TypeInfo| t.price_of(job.spec.spot) / f64::from(need.times_in(&t.cap).max(1));
-        self.types.iter().filter(|t| need.fits_in(&t.cap) && job.spec.allows_type(t.ix)).map(slot).fold(f64::INFINITY, f64::min)
+        self.types
+            .iter()
+            .filter(|t| need.fits_in(&t.cap) && job.spec.allows_type(t.ix))
+            .map(slot)
+            .fold(f64::INFINITY, f64::min)
     }
 
     /// Notes since when machines have had nothing to do.
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -520,7 +520,14 @@
         self.machines[ix.at()].answer_open = false;
         self.take_report(now, ix, r, mirror, tables);
         let orders = self.orders(now, ix, true);
-        self.machines[ix.at()].answer_open = orders.iter().any(|o| matches!(o, Order::Launch { .. }));
+        let m = &mut self.machines[ix.at()];
+        m.answer_open = orders.iter().any(|o| matches!(o, Order::Launch { .. }));
+        if orders.iter().any(|o| matches!(o, Order::Reap { .. })) {
+            // Guard: once reaped, an attempt is unknown to the worker, and a
+            // repeat of the command that launched it would start it again. The
+            // reap comes with a higher token than any such command.
+            m.token += 1;
+        }
         Answer::Ok(ReportAnswer { token: self.machines[ix.at()].token, orders })
     }
 
@@ -951,6 +958,7 @@
             return true;
         }
         let Some(done) = m.call.take() else { return true };
+        let refused = matches!(outcome, DoOutcome::Refused(_));
         match outcome {
             DoOutcome::Executed(r) | DoOutcome::Refused(r) => {
                 if r.token > m.token {
@@ -959,6 +967,17 @@
                 if r.session > m.dead_session && m.life != Life::Gone {
                     self.take_report(now, ix, &r, mirror, tables);
                 }
+                if refused {
+                    // Not executed: what it launched may be sent again at once.
+                    for (job, task, attempt) in done.launches {
+                        let slot = self.job(job).and_then(|j| j.slots.get(task as usize).copied());
+                        if let Some(Slot::At(p)) = slot {
+                            if let Some(p) = self.places[p.at()].as_mut().filter(|p| p.attempt == attempt) {
+                                p.sent = None;
+                            }
+                        }
+                    }
+                }
             }
             DoOutcome::NotSent => m.call_after = now + 700,
             DoOutcome::Unknown => {
@@ -1107,6 +1126,12 @@
         records::to_value(&ChunkRecord { done, places, tag })
     }
 
+    /// The count inside some worker's token is nearly used up: the next
+    /// leadership begins a new one.
+    pub fn tokens_spent(&self) -> bool {
+        self.machines.iter().any(|m| m.token - base_token(self.stamp) > 60_000)
+    }
+
     pub fn commit_busy(&self) -> bool {
         self.flying.as_ref().is_some_and(|f| f.sent)
     }
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -65,7 +65,8 @@
             if t.cap.gpus > 0.0 && s.allows_type(t.ix) && (s.spot || !spot) && Res::of(s).fits_in(&t.cap) {
                 let g = guard.get_or_insert(Res::of(s));
                 let s = Res::of(s);
-                *g = Res { cpus: g.cpus.max(s.cpus), gpus: g.gpus.max(s.gpus), memory_gb: g.memory_gb.max(s.memory_gb) };
+                *g =
+                    Res { cpus: g.cpus.max(s.cpus), gpus: g.gpus.max(s.gpus), memory_gb: g.memory_gb.max(s.memory_gb) };
             }
         }
         guard
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -468,6 +468,14 @@
     /// A leader that no worker reaches, though its peers see them knocking, gives way.
     fn give_way(&mut self, net: &mut Net, now: Ms) {
         let Some(l) = &self.leader else { return };
+        if l.tokens_spent() {
+            tracing::info!("a worker's tokens are spent: a new leadership begins");
+            if let Some(act) = self.election.resign(now) {
+                self.act(net, act);
+            }
+            self.leader = None;
+            return;
+        }
         let quiet = now > l.heard_any + GIVE_WAY_MS && now > l.started + GIVE_WAY_MS;
         let knocks = self.peers.iter().any(|p| p.heard.is_some_and(|h| now < h + 2_000) && p.knocks >= 2);
         if quiet && knocks {
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -476,9 +476,9 @@
     wait_for("running", || (status(first, "j-100001")? == "running").then_some(()));
     let leader = wait_for("a leader", || {
         let report = worker_state.lock().unwrap().report();
-        nodes.iter().position(|n| {
-            call(n.client, "POST", "/checkin", &body::encode(&report)).is_some_and(|a| a.0 == 200)
-        })
+        nodes
+            .iter()
+            .position(|n| call(n.client, "POST", "/checkin", &body::encode(&report)).is_some_and(|a| a.0 == 200))
     });
     nodes[leader].kill();
     let other = nodes[(leader + 1) % 3].client;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -51,6 +51,54 @@
     assert!(w.where_is("j-1/0").is_some());
 }
 
+/// Guard: a launch that went unanswered may arrive until the worker has shown
+/// the raised token; that it lists no such task until then proves nothing.
+fn preempted_with_the_launch_in_flight(w: &mut World) {
+    w.workers.iter_mut().skip(1).for_each(|x| x.dead = true);
+    w.run(5_000);
+    let mut s = sub("j-1", "service", 1);
+    s.priority = Some("low".into());
+    w.weather = Weather { late_do: 100, ..Weather::default() };
+    w.submit(s, 0);
+    w.run(200);
+    assert_eq!(w.held.len(), 1, "the launch is on its way");
+    let at = w.now + 15_000;
+    w.held.iter_mut().for_each(|h| h.0 = at);
+    w.weather = Weather::default();
+    w.workers[0].deaf = true;
+    let mut s = sub("j-2", "ensemble", 1);
+    (s.priority, s.cpus) = (Some("high".into()), Some(8.0));
+    w.submit(s, 0);
+    w.run(1_000);
+    w.add_worker("b");
+    w.run(20_000);
+    w.workers[0].deaf = false;
+    w.run(60_000);
+}
+
+/// Guard: a repeat of a command that was carried out comes after its task was
+/// stopped and reaped, and runs elsewhere.
+fn a_repeated_command_after_the_reap(w: &mut World) {
+    w.run(5_000);
+    w.weather = Weather { repeat_do: 100, ..Weather::default() };
+    let mut s = sub("j-1", "service", 1);
+    s.priority = Some("low".into());
+    w.submit(s, 0);
+    w.until("runs", 10_000, |w| w.where_is("j-1/0").is_some());
+    let at = w.now + 30_000;
+    w.held.iter_mut().for_each(|h| h.0 = at);
+    w.weather = Weather::default();
+    let n = w.where_is("j-1/0").unwrap();
+    let mut s = sub("j-2", "ensemble", 4);
+    (s.priority, s.cpus) = (Some("high".into()), Some(7.0));
+    w.submit(s, 0);
+    w.run(10_000);
+    assert!(w.where_is("j-1/0").is_none(), "stopped for the other");
+    w.add_worker("a");
+    w.until("elsewhere", 15_000, |w| w.where_is("j-1/0").is_some_and(|m| m != n));
+    w.run(40_000);
+}
+
 fn a_worker_that_is_cut_off_goes_on(w: &mut World) {
     w.submit(sub("j-1", "service", 2), 0);
     w.until("runs", 10_000, |w| w.where_is("j-1/0").is_some());
@@ -247,6 +295,8 @@
         ("crash after the write", crash_after_the_write),
         ("late command, worker moved on", a_late_command_to_a_worker_that_moved_on),
         ("late command, hung worker", a_late_command_to_a_hung_worker),
+        ("preempted, launch in flight", preempted_with_the_launch_in_flight),
+        ("repeated command", a_repeated_command_after_the_reap),
         ("cut worker", a_worker_that_is_cut_off_goes_on),
         ("late report", a_late_report_from_before_the_launch),
         ("late transaction", a_late_transaction_of_the_leader_before),
@@ -277,8 +327,16 @@
         let mut w = World::new(seed, 6);
         w.team_gpus_max = 8.0;
         w.capacity = 4;
-        w.weather =
-            Weather { late_do: 10, lost_do: 5, lost_txn: 10, lost_answer: 10, late_report: 10, lost_rent: 30 };
+        w.weather = Weather {
+            late_do: 10,
+            lost_do: 5,
+            repeat_do: 20,
+            slow_do: 20,
+            lost_txn: 10,
+            lost_answer: 10,
+            late_report: 10,
+            lost_rent: 30,
+        };
         w.elect();
         for n in 0..12u32 {
             let kind = ["batch", "ensemble", "service"][w.any(3)];
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -14,7 +14,7 @@
     coordination::{
         fleet::RentOutcome,
         leader::{Answer, CommitOutcome, Config, DoOutcome, Effect, Leader},
-        model::{Ms, Res, TeamLimits, TypeInfo},
+        model::{MachineIx, Ms, Res, TeamLimits, TypeInfo},
     },
     protocol::{
         cloud::{HostList, HostState, ListedHost, RentRequest},
@@ -117,6 +117,8 @@
     /// It doesn't execute, nor answer, but may resume.
     pub hung: bool,
     pub dead: bool,
+    /// Hears no answers to its reports.
+    pub deaf: bool,
 }
 
 impl Worker {
@@ -156,6 +158,7 @@
 /// A command or report that arrives later than it was sent.
 pub enum Held {
     Do { worker: usize, req: DoRequest },
+    SlowDo { worker: usize, req: DoRequest, machine: MachineIx, call: u64, stamp: u64 },
     Report(Report),
     Txn(Txn),
 }
@@ -167,6 +170,10 @@
     pub late_do: u32,
     /// A command never arrives.
     pub lost_do: u32,
+    /// A command is executed and answered, and a copy of it comes again later.
+    pub repeat_do: u32,
+    /// A command takes a second or two to be executed and answered.
+    pub slow_do: u32,
     /// The answer to a transaction is lost; half of those are applied at once,
     /// half later.
     pub lost_txn: u32,
@@ -280,6 +287,7 @@
             cut: false,
             hung: false,
             dead: false,
+            deaf: false,
         });
         id
     }
@@ -350,8 +358,7 @@
             return false;
         }
         rec.status = Status::Cancelled;
-        let txn =
-            Txn { conditions: vec![], writes: vec![Op::Put { key, v: records::to_value(&rec), permit: None }] };
+        let txn = Txn { conditions: vec![], writes: vec![Op::Put { key, v: records::to_value(&rec), permit: None }] };
         self.store.apply(&txn).unwrap();
         self.jobs.get_mut(id).unwrap().cancelled_at = Some(self.now);
         true
@@ -405,6 +412,12 @@
                         self.execute_do(worker, &req);
                     }
                 }
+                Held::SlowDo { worker, req, machine, call, stamp } => {
+                    let out = self.execute_do(worker, &req);
+                    if let Some(l) = self.leader.as_mut().filter(|l| l.stamp == stamp) {
+                        l.do_result(now, machine, call, out, &self.mirror, &mut self.tables);
+                    }
+                }
                 Held::Report(r) => {
                     if let Some(l) = &mut self.leader {
                         // Whatever is answered, nobody listens any more.
@@ -489,7 +502,7 @@
         let Answer::Ok(a) = l.report(sent, &r, &self.mirror, &mut self.tables) else { return };
         let id = self.workers[n].id.clone();
         self.judge_orders(&id, &a.orders);
-        if self.chance(self.weather.lost_answer) {
+        if self.workers[n].deaf || self.chance(self.weather.lost_answer) {
             return;
         }
         let w = &mut self.workers[n];
@@ -672,6 +685,10 @@
         }
         let Some(txn) = l.commit(8, &self.tables) else { return };
         self.txns += 1;
+        let stamp = self.store.keys[records::LEADER].1;
+        if !txn.conditions.iter().any(|c| c.key == records::LEADER && c.stamp == stamp) {
+            self.broken.push(format!("a transaction that any later leader would let through, at {now}"));
+        }
         if std::mem::take(&mut self.die_before_txn) {
             self.leader = None;
             return;
@@ -708,6 +725,16 @@
                 let id = self.leader.as_ref().map(|l| l.machine(machine).id.clone()).unwrap_or_default();
                 let Some(n) = self.workers.iter().position(|w| w.id == id) else { return };
                 self.judge_orders(&id, &req.orders);
+                if !self.workers[n].dead
+                    && !self.workers[n].cut
+                    && !self.workers[n].hung
+                    && self.chance(self.weather.slow_do)
+                {
+                    let stamp = self.leader.as_ref().map_or(0, |l| l.stamp);
+                    let at = now + self.rng.random_range(300..1_900);
+                    self.held.push((at, Held::SlowDo { worker: n, req, machine, call, stamp }));
+                    return;
+                }
                 let out = if self.workers[n].dead || self.workers[n].cut || self.workers[n].hung {
                     if self.workers[n].hung {
                         self.held.push((now + 1_000, Held::Do { worker: n, req }));
@@ -720,6 +747,10 @@
                 } else if self.chance(self.weather.lost_do) {
                     DoOutcome::Unknown
                 } else {
+                    if self.chance(self.weather.repeat_do) {
+                        let at = now + self.rng.random_range(200..40_000);
+                        self.held.push((at, Held::Do { worker: n, req: req.clone() }));
+                    }
                     self.execute_do(n, &req)
                 };
                 if let Some(l) = &mut self.leader {
