--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -159,6 +159,31 @@
     w.run(45_000);
 }
 
+/// Guard: a copy of a transaction that is applied late must not turn the
+/// records back to where tasks were before.
+fn a_late_copy_of_our_own_transaction(w: &mut World) {
+    w.workers.iter_mut().skip(1).for_each(|x| x.dead = true);
+    w.run(5_000);
+    let mut s = sub("j-1", "service", 1);
+    s.priority = Some("low".into());
+    w.submit(s, 0);
+    w.weather = Weather { lost_txn: 100, ..Weather::default() };
+    w.until("a copy is held", 60_000, |w| !w.held.is_empty());
+    w.weather = Weather::default();
+    let at = w.now + 30_000;
+    w.held.iter_mut().for_each(|h| h.0 = at);
+    w.until("runs", 20_000, |w| w.where_is("j-1/0").is_some());
+    let mut s = sub("j-2", "ensemble", 1);
+    (s.priority, s.cpus) = (Some("high".into()), Some(8.0));
+    w.submit(s, 0);
+    w.run(5_000);
+    w.add_worker("b");
+    w.until("elsewhere", 15_000, |w| w.where_is("j-1/0").is_some_and(|n| n != 0));
+    w.run(40_000);
+    w.elect();
+    w.run(10_000);
+}
+
 fn a_lost_answer_to_every_second_transaction(w: &mut World) {
     w.weather = Weather { lost_txn: 50, ..Weather::default() };
     w.submit(sub("j-1", "batch", 12), 2_000);
@@ -281,6 +306,7 @@
     w.submit(sub("j-1", "service", 2), 0);
     w.until("runs", 10_000, |w| w.where_is("j-1/1").is_some());
     // A record lost by whatever hand: the tasks are there all the same.
+    w.records_lost = true;
     w.store.keys.retain(|k, _| !k.starts_with("t/"));
     let (a, b) = (w.where_is("j-1/0"), w.where_is("j-1/1"));
     w.elect();
@@ -300,6 +326,7 @@
         ("cut worker", a_worker_that_is_cut_off_goes_on),
         ("late report", a_late_report_from_before_the_launch),
         ("late transaction", a_late_transaction_of_the_leader_before),
+        ("late copy of a transaction", a_late_copy_of_our_own_transaction),
         ("lost answers to transactions", a_lost_answer_to_every_second_transaction),
         ("cancelled, launch in flight", cancelled_with_the_launch_in_flight),
         ("cancelled, no leader", cancelled_while_the_leader_is_away),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -210,6 +210,8 @@
     pub die_after_txn: bool,
     pub txns: usize,
     pub halts_seen: Vec<(Ms, String, f64)>,
+    /// This case threw records away.
+    pub records_lost: bool,
 }
 
 pub fn sub(id: &str, kind: &str, tasks: u32) -> Submission {
@@ -259,6 +261,7 @@
             die_after_txn: false,
             txns: 0,
             halts_seen: Vec::new(),
+            records_lost: false,
         };
         w.tables.teams.intern("red");
         w.tables.types.intern("m");
@@ -565,15 +568,18 @@
 
     // ---- the judge -----------------------------------------------------
 
+    fn is_written(&self, task: &str, worker: &str, attempt: u64) -> bool {
+        let Some((job, n)) = split_task(task) else { return false };
+        let rec = self.store.keys.get(&records::chunk_key(job, n / 4));
+        let rec = rec.and_then(|(v, _)| v.deserialized::<ChunkRecord>().ok());
+        rec.is_some_and(|r| r.places.iter().any(|p| p.0 == n && p.1 == worker && p.3 == attempt))
+    }
+
     /// Our own rule: no launch is sent before the place is written.
     fn judge_orders(&mut self, worker: &str, orders: &[Order]) {
         for o in orders {
             let Order::Launch { task, attempt } = o else { continue };
-            let Some((job, n)) = split_task(task) else { continue };
-            let key = records::chunk_key(job, n / 4);
-            let rec = self.store.keys.get(&key).and_then(|(v, _)| v.deserialized::<ChunkRecord>().ok());
-            let written = rec.is_some_and(|r| r.places.iter().any(|p| p.0 == n && p.1 == worker && p.3 == *attempt));
-            if !written {
+            if !self.is_written(task, worker, *attempt) {
                 self.broken.push(format!("unwritten: {task} launched on {worker} at {}", self.now));
             }
         }
@@ -618,6 +624,11 @@
         let mut broken = Vec::new();
         for w in self.workers.iter().filter(|w| !w.dead) {
             for t in w.tasks.iter().filter(|t| t.state == TaskState::Running) {
+                // Our own rule: wherever a task runs, a record says so, lest
+                // the next leader start it elsewhere.
+                if !self.records_lost && !self.is_written(&t.name, &w.id, t.attempt) {
+                    broken.push(format!("unrecorded: {} runs on {} at {}", t.name, w.id, self.now));
+                }
                 let Some(f) = split_task(&t.name).and_then(|s| self.jobs.get(s.0)) else { continue };
                 gpus += f.sub.gpus.unwrap_or(0.0);
                 if f.cancelled_at.is_some_and(|c| self.now > c + CANCEL) {
