--- a/src/coordination/trial.rs
+++ b/src/coordination/trial.rs
@@ -528,6 +528,27 @@
                 zone_used: vec![0],
                 want: (Unschedulable, 0),
             },
+            // Guard: replicas left no GPU machine to the work that needs one.
+            Case {
+                name: "guarded",
+                hosts: vec![gpu.clone()],
+                kind: Kind::Service,
+                tasks: 2,
+                min: 1,
+                change: prod,
+                zone_used: vec![0],
+                want: (Success, 1),
+            },
+            Case {
+                name: "guarded, saves",
+                hosts: vec![gpu],
+                kind: Kind::Array,
+                tasks: 5,
+                min: 1,
+                change: |s| s.checkpoint_s = 5.0,
+                zone_used: vec![0],
+                want: (Success, 4),
+            },
             Case {
                 name: "closed",
                 hosts: vec![closed],
