--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -421,7 +421,10 @@
             let Some(job) = self.job(ix) else { continue };
             let spec = job.spec.clone();
             let need = Res::of(&spec);
-            let mut left = n;
+            // Boot times vary widely: for replicas more room is ordered than
+            // they need, so that those that come up first hold them all. Others'
+            // work takes what is left over.
+            let mut left = if spec.kind == Kind::Service { 2 * n } else { n };
             for c in &mut coming {
                 if left == 0 {
                     break;
@@ -435,11 +438,6 @@
                 }
             }
             let waited_s = (now as i64 - job.waiting_since as i64) as f64 / 1000.0;
-            // Boot times vary widely: for replicas more room is ordered than
-            // they need, so that those that come up first hold them all. Others'
-            // work takes what is left over.
-            let spare = if spec.kind == Kind::Service { left } else { 0 };
-            left += spare;
             let mut tries = 0;
             while left > 0 && tries < 6 && total < self.cfg.max_machines {
                 tries += 1;
