--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -52,6 +52,8 @@
     next_think: Ms,
     next_return: Ms,
     pub listed_once: bool,
+    /// Since when most machines of a zone have been heard from.
+    sound: HashMap<ZoneIx, Ms>,
     /// When the cloud last answered.
     pub cloud_ok: Ms,
     /// When work last waited for room.
@@ -81,6 +83,7 @@
             next_think: now,
             next_return: now,
             listed_once: false,
+            sound: HashMap::new(),
             cloud_ok: now,
             crowded: now,
             next_consolidation: now,
@@ -109,6 +112,7 @@
         }
         if now >= self.fleet.next_return {
             self.fleet.next_return = now + RETURN_MS;
+            self.note_zones(now);
             self.hand_back(now);
         }
         if !self.fleet.unmet.is_empty() {
@@ -137,15 +141,38 @@
         let inherited = |m: &Machine| m.life == Life::Booting && !m.places.is_empty();
         let silent = |m: &Machine| {
             let since = m.heard.unwrap_or(self.started + self.cfg.report_ms);
-            now > since + self.cfg.silent_ms && m.life != Life::Gone && (m.life != Life::Booting || inherited(m))
+            let overdue = now > since + self.cfg.silent_ms || m.probe_fails >= 2;
+            overdue && m.life != Life::Gone && (m.life != Life::Booting || inherited(m))
         };
-        let fresh = |m: &Machine| m.life == Life::Up && m.heard.is_some_and(|h| now < h + 2 * self.cfg.report_ms);
-        // Guard: many silent at once speak of a cut, not of dead machines;
-        // theirs may well be running behind it. Those already being handed
-        // back count too, or a cut would be taken for one death after another.
-        let quiet = self.machines.iter().filter(|m| silent(m)).count();
-        let talking = self.machines.iter().filter(|m| fresh(m)).count();
-        let few = quiet <= 1 + talking / 5 && self.fleet.cloud_ok + 5_000 > now;
+        // Guard: a cut silences the machines behind it, which may well be
+        // running. A machine is believed dead only if others of its zone were
+        // heard after the moment it should have been: a cut would have stopped
+        // those too. Where it has no others, those of all zones speak for it,
+        // after twice the time.
+        let report_ms = self.cfg.report_ms;
+        let alone = |suspect: &Machine| {
+            let since = suspect.heard.unwrap_or(self.started + report_ms);
+            let due = since + report_ms * 5 / 4 + 100;
+            let others = |same_zone: bool| {
+                let all = self.machines.iter().filter(|m| {
+                    (m.life == Life::Up || inherited(m)) && m.id != suspect.id && (!same_zone || m.zone == suspect.zone)
+                });
+                let (mut heard, mut n) = (0, 0);
+                for m in all {
+                    n += 1;
+                    heard += usize::from(m.heard.is_some_and(|h| h > due));
+                }
+                (heard, n)
+            };
+            match others(true) {
+                (_, 0) => {
+                    let (heard, n) = others(false);
+                    heard * 3 > n && now > since + 2 * self.cfg.silent_ms
+                }
+                (heard, n) => heard * 3 >= n && self.zone_sound(now, suspect.zone),
+            }
+        };
+        let cloud_there = self.fleet.cloud_ok + 5_000 > now;
         let mut ids = Vec::new();
         for (n, m) in self.machines.iter().enumerate() {
             if ids.len() >= 50 || now < m.return_after {
@@ -155,7 +182,7 @@
                 Life::Gone => continue,
                 Life::Returning => "asked before",
                 Life::Booting if inherited(m) => {
-                    if silent(m) && few {
+                    if silent(m) && cloud_there && alone(m) {
                         "silent"
                     } else {
                         continue;
@@ -171,7 +198,7 @@
                         continue;
                     }
                 }
-                Life::Up if silent(m) && few => "silent",
+                Life::Up if silent(m) && cloud_there && alone(m) => "silent",
                 Life::Up if m.places.is_empty() && m.retire => "retired",
                 Life::Up if m.places.is_empty() && self.idle_long(now, m) => "idle",
                 Life::Up => continue,
@@ -195,6 +222,31 @@
         self.effects.push(Effect::Return { call, ids: names });
     }
 
+    /// Notes since when most machines of each zone have been heard from.
+    pub fn note_zones(&mut self, now: Ms) {
+        let mut zones: HashMap<ZoneIx, (u32, u32)> = HashMap::new();
+        for m in &self.machines {
+            if m.life == Life::Up || (m.life == Life::Booting && !m.places.is_empty()) {
+                let z = zones.entry(m.zone).or_default();
+                z.0 += u32::from(m.heard.is_some_and(|h| now < h + 2 * self.cfg.report_ms));
+                z.1 += 1;
+            }
+        }
+        for (z, (heard, all)) in zones {
+            if heard * 2 >= all {
+                self.fleet.sound.entry(z).or_insert(now);
+            } else {
+                self.fleet.sound.remove(&z);
+            }
+        }
+    }
+
+    /// Guard: when a cut ends, or a leader is new, machines come back one by
+    /// one; the last of them are not dead.
+    fn zone_sound(&self, now: Ms, zone: ZoneIx) -> bool {
+        self.fleet.sound.get(&zone).is_some_and(|since| now > since + self.cfg.silent_ms)
+    }
+
     fn idle_long(&self, now: Ms, m: &Machine) -> bool {
         m.idle_since.is_some_and(|s| now > s + self.keep_ms(m))
     }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -56,10 +56,29 @@
 
 #[derive(Debug, Clone)]
 pub enum Effect {
-    Do { machine: MachineIx, call: u64, addr: SocketAddr, req: DoRequest },
-    Rent { call: u64, req: RentRequest },
-    Return { call: u64, ids: Vec<String> },
-    List { call: u64, from: Option<String> },
+    Do {
+        machine: MachineIx,
+        call: u64,
+        addr: SocketAddr,
+        req: DoRequest,
+    },
+    Rent {
+        call: u64,
+        req: RentRequest,
+    },
+    Return {
+        call: u64,
+        ids: Vec<String>,
+    },
+    List {
+        call: u64,
+        from: Option<String>,
+    },
+    /// GET /status, of a worker whose report is overdue.
+    Probe {
+        machine: MachineIx,
+        addr: SocketAddr,
+    },
 }
 
 #[derive(Debug)]
@@ -543,6 +562,7 @@
         m.spot = r.spot;
         m.seq = r.seq;
         m.heard = Some(now);
+        m.probe_fails = 0;
         m.seen_token = m.seen_token.max(r.token);
         if m.life == Life::Booting {
             m.life = Life::Up;
@@ -994,6 +1014,34 @@
         true
     }
 
+    /// Asks workers whose report is overdue. That they don't answer proves
+    /// nothing, but lets their machine be handed back sooner, which does.
+    pub fn probe(&mut self, now: Ms) {
+        let overdue = self.cfg.report_ms * 5 / 4 + 400;
+        for n in 0..self.machines.len() {
+            let m = &mut self.machines[n];
+            let late = m.heard.is_some_and(|h| now > h + overdue);
+            if m.life == Life::Up && late && !m.probing && !m.places.is_empty() && m.probe_fails < 3 {
+                if let Some(addr) = m.addr {
+                    m.probing = true;
+                    self.effects.push(Effect::Probe { machine: MachineIx(n as u32), addr });
+                }
+            }
+        }
+    }
+
+    pub fn probed(&mut self, now: Ms, ix: MachineIx, report: Option<&Report>, mirror: &Mirror, tables: &mut Tables) {
+        let m = &mut self.machines[ix.at()];
+        m.probing = false;
+        match report {
+            Some(r) if r.session > m.dead_session && m.life == Life::Up => {
+                self.take_report(now, ix, r, mirror, tables);
+            }
+            Some(_) => {}
+            None => m.probe_fails += 1,
+        }
+    }
+
     /// Frees what lease expiry proves gone.
     pub fn expire(&mut self, now: Ms) {
         for n in 0..self.machines.len() {
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -257,6 +257,9 @@
     pub heard: Option<Ms>,
     /// When the last 200 went to one of its reports, by us or anyone before.
     pub renewed: Ms,
+    /// A probe is under way; probes in a row that went unanswered.
+    pub probing: bool,
+    pub probe_fails: u32,
     pub notice_until: Option<Ms>,
     pub places: Vec<PlaceIx>,
     pub tombs: Vec<Tomb>,
@@ -299,6 +302,8 @@
             seen_token: 0,
             heard: None,
             renewed: now,
+            probing: false,
+            probe_fails: 0,
             notice_until: None,
             places: Vec::new(),
             tombs: Vec::new(),
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -321,6 +321,7 @@
             return self.load_tasks(net, now, stamp);
         }
         l.expire(now);
+        l.probe(now);
         l.note_idle(now);
         l.fleet_step(now, &self.tables);
         let gap = now.saturating_sub(l.last_pass);
@@ -452,6 +453,10 @@
                         l.returned(now, call, false);
                     }
                 }
+                Effect::Probe { machine, addr } => {
+                    let what = Pending::Probe { stamp, machine };
+                    self.send(net, addr, what, "GET", "/status".into(), Vec::new(), 700);
+                }
                 Effect::List { call, from } => {
                     if entitled && self.cloud.take(now, 1.0, Urgency::Submit).is_ok() {
                         let from = from.map_or(String::new(), |f| format!("from={f}&"));
@@ -615,6 +620,12 @@
                     l.listed(now, call, list.as_ref(), &mut self.tables);
                 }
             }
+            Pending::Probe { stamp, machine } => {
+                let report = body::<Report>(&result);
+                if let Some(l) = self.leader.as_mut().filter(|l| l.stamp == stamp) {
+                    l.probed(now, machine, report.as_ref(), &self.mirror, &mut self.tables);
+                }
+            }
             Pending::Flavors => self.took_flavors(now, &result),
         }
     }
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -92,6 +92,7 @@
     Rent { stamp: u64, call: u64 },
     Return { stamp: u64, call: u64 },
     List { stamp: u64, call: u64 },
+    Probe { stamp: u64, machine: MachineIx },
     Flavors,
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -301,6 +301,45 @@
     assert!(w.asked_in.len() > w.asks.len(), "some were repeated");
 }
 
+/// One silent machine among others that speak is handed back, and its tasks
+/// start elsewhere long before its lease is over.
+fn a_dead_machine_goes_back(w: &mut World) {
+    (w.capacity, w.silent_ms) = (1, 8_500);
+    for zone in ["a", "b", "a", "b"] {
+        w.add_worker(zone);
+    }
+    w.elect();
+    w.run(20_000);
+    w.submit(sub("j-1", "service", 2), 0);
+    w.until("runs", 10_000, |w| w.where_is("j-1/0").is_some());
+    let n = w.where_is("j-1/0").unwrap();
+    w.workers[n].cut = true;
+    w.until("elsewhere", 14_000, |w| w.where_is("j-1/0").is_some_and(|m| m != n));
+}
+
+/// Guard: machines behind a cut are not taken for dead, neither while it
+/// lasts, nor when it ends under a new leader and they come back one by one.
+fn machines_behind_a_cut_are_kept(w: &mut World) {
+    (w.capacity, w.silent_ms) = (1, 8_500);
+    for zone in ["a", "b", "a", "b", "a", "b"] {
+        w.add_worker(zone);
+    }
+    w.elect();
+    w.run(20_000);
+    w.submit(sub("j-1", "service", 16), 0);
+    w.run(5_000);
+    let zone_b = |w: &mut World, cut: bool| {
+        w.workers.iter_mut().filter(|x| x.zone == "b").for_each(|x| x.cut = cut);
+    };
+    zone_b(w, true);
+    w.run(9_000);
+    w.elect();
+    w.run(12_000);
+    zone_b(w, false);
+    w.run(30_000);
+    assert!(w.workers.iter().all(|x| !x.dead), "handed back though alive");
+}
+
 fn strays_are_adopted(w: &mut World) {
     w.workers.iter_mut().skip(1).for_each(|x| x.dead = true);
     w.submit(sub("j-1", "service", 2), 0);
@@ -335,6 +374,8 @@
         ("scatter", scatter_keeps_its_half),
         ("gang stops in order", a_gang_stops_in_order),
         ("rentals", rentals_are_never_doubled),
+        ("dead machine", a_dead_machine_goes_back),
+        ("machines behind a cut", machines_behind_a_cut_are_kept),
         ("strays", strays_are_adopted),
     ];
     for (n, (name, case)) in cases.iter().enumerate() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -212,6 +212,7 @@
     pub halts_seen: Vec<(Ms, String, f64)>,
     /// This case threw records away.
     pub records_lost: bool,
+    pub silent_ms: Ms,
 }
 
 pub fn sub(id: &str, kind: &str, tasks: u32) -> Submission {
@@ -262,6 +263,7 @@
             txns: 0,
             halts_seen: Vec::new(),
             records_lost: false,
+            silent_ms: 1 << 40,
         };
         w.tables.teams.intern("red");
         w.tables.types.intern("m");
@@ -326,7 +328,7 @@
             }],
             aims: Vec::new(),
             idle_keep_ms: 1 << 40,
-            silent_ms: 1 << 40,
+            silent_ms: self.silent_ms,
             max_machines: usize::MAX,
             use_spot: true,
         };
@@ -671,6 +673,7 @@
             l.job_update(now, now, ix, &self.mirror);
         }
         l.expire(now);
+        l.probe(now);
         l.note_idle(now);
         if self.capacity > 0 {
             l.fleet_step(now, &self.tables);
@@ -791,6 +794,14 @@
                     l.returned(now, call, true);
                 }
             }
+            Effect::Probe { machine, .. } => {
+                let id = self.leader.as_ref().map(|l| l.machine(machine).id.clone()).unwrap_or_default();
+                let w = self.workers.iter_mut().find(|w| w.id == id && !(w.dead || w.cut || w.hung));
+                let report = w.map(Worker::report);
+                if let Some(l) = &mut self.leader {
+                    l.probed(now, machine, report.as_ref(), &self.mirror, &mut self.tables);
+                }
+            }
             Effect::List { call, .. } => {
                 let hosts = self
                     .workers
