--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -568,7 +568,8 @@
             m.life = Life::Up;
             m.up_at = Some(now);
             self.dirty = true;
-            tracing::info!(machine = &*m.id, boot_s = (now - m.rented) / 1000, "up");
+            let boot_s = (now - m.rented) / 1000;
+            tracing::info!(machine = &*m.id, machine_type = &*r.machine_type, spot = r.spot, boot_s, "up");
         }
         match r.notice_s {
             Some(s) if m.notice_until.is_none() => {
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -17,6 +17,11 @@
 /// Machines looked at, when there are more than can be searched in full.
 const SAMPLE: usize = 256;
 
+/// What runs this long has started for good (PROTOCOL, "How aims are counted").
+const START_COUNTS_S: f64 = 30.0;
+
+const BORROW_PATIENCE_MS: i64 = 12_000;
+
 struct Victim {
     place: PlaceIx,
     need: Res,
@@ -35,7 +40,9 @@
             return None;
         }
         let lower = job.spec.priority < by.spec.priority;
-        let borrowed = within && job.spec.team != by.spec.team && {
+        // Borrowed room is asked back only once some may have come back by itself.
+        let waited = now as i64 - by.waiting_since as i64;
+        let borrowed = within && waited >= BORROW_PATIENCE_MS && job.spec.team != by.spec.team && {
             let limits = self.team_limits(job.spec.team);
             let used = ledger.used.get(job.spec.team.at()).copied().unwrap_or_default();
             let over = |have: Option<f64>, used: f64| used > have.unwrap_or(0.0) + EPS;
@@ -54,9 +61,11 @@
             Priority::High => 200.0,
             Priority::Production => 2_000.0,
         };
+        // A start that is stopped soon was none: its users waited for nothing.
+        let fresh = if ran < START_COUNTS_S && job.spec.priority > Priority::Low { 60.0 } else { 0.0 };
         // A gang is stopped whole.
         let many = if job.spec.kind == Kind::Gang { f64::from(job.placed) } else { 1.0 };
-        Some(Victim { place: p, need: Res::of(&job.spec), cost: (5.0 + rank + lost) * many })
+        Some(Victim { place: p, need: Res::of(&job.spec), cost: (5.0 + rank + lost + fresh) * many })
     }
 
     /// Stops other work so that `tasks` get room. True if something was stopped.
