--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -269,7 +269,7 @@
         }
         let per_cpu = |t: &TypeInfo| t.price_of(m.spot) / t.cap.cpus;
         let cheapest = self.types.iter().filter(|t| t.cap.cpus > 0.0).map(per_cpu).fold(f64::INFINITY, f64::min);
-        m.gpu_idle_since.is_some_and(|s| now > s + self.keep_ms(m) / 2) && per_cpu(t) > 2.0 * cheapest
+        m.gpu_idle_since.is_some_and(|s| now > s + QUIET_MS) && per_cpu(t) > 2.0 * cheapest
     }
 
     /// When nothing waits, replicas on the dearest machine that holds nothing
