--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -634,7 +634,7 @@
             Priority::Normal => 1.8,
             Priority::Low => 1.5,
         };
-        (cost <= cheapest * (urgency + waited_s / 3.0)).then_some((offer, per))
+        (cost <= cheapest * (urgency + waited_s)).then_some((offer, per))
     }
 
     pub fn rented(&mut self, now: Ms, call: u64, outcome: RentOutcome) {
