--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -25,6 +25,8 @@
 const QUIET_MS: Ms = 12_000;
 /// Idle machines are kept for this many times what getting them again takes.
 const KEEP: f64 = 1.4;
+/// GPU work that last came this long ago is not expected any more.
+const STILL_COMES_MS: i64 = 90_000;
 /// Paid for a machine, against what its replicas would cost on fitting ones.
 const DEAR: f64 = 3.0;
 const CONSOLIDATE_MS: Ms = 2_000;
@@ -248,15 +250,20 @@
     }
 
     fn idle_long(&self, now: Ms, m: &Machine) -> bool {
-        m.idle_since.is_some_and(|s| now > s + self.keep_ms(m))
+        m.idle_since.is_some_and(|s| now > s + self.keep_ms(now, m))
     }
 
     /// A machine that takes long to get again is kept longer.
-    fn keep_ms(&self, m: &Machine) -> Ms {
+    fn keep_ms(&self, now: Ms, m: &Machine) -> Ms {
         let again = self.type_of(m).map_or(0.0, |t| {
-            let image = self.gpu_shapes.iter().filter(|(s, _)| s.allows_type(t.ix) && Res::of(s).fits_in(&t.cap));
-            let gb = image.map(|(s, _)| s.image_gb).fold(0.0, f64::max);
-            t.boot_s + if t.cap.gpus > 0.0 { gb / t.fetch_gb_per_s.max(0.01) } else { 0.0 }
+            if t.cap.gpus <= 0.0 {
+                return t.boot_s;
+            }
+            // With GPUs, the image counts too; but only while such work comes.
+            let users = self.gpu_shapes.iter().filter(|(s, _, came)| {
+                s.allows_type(t.ix) && Res::of(s).fits_in(&t.cap) && now as i64 - came < STILL_COMES_MS
+            });
+            users.map(|(s, _, _)| t.boot_s + s.image_gb / t.fetch_gb_per_s.max(0.01)).fold(0.0, f64::max)
         });
         self.cfg.idle_keep_ms.max((again * KEEP * 1000.0) as Ms)
     }
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -145,8 +145,8 @@
     pub effects: Vec<Effect>,
     counts: HashSet<JobIx>,
     pub heard_any: Ms,
-    /// Shapes of GPU work seen lately, and when.
-    pub gpu_shapes: Vec<(Rc<JobSpec>, Ms)>,
+    /// Shapes of GPU work seen lately, when, and when such a job last came.
+    pub gpu_shapes: Vec<(Rc<JobSpec>, Ms, i64)>,
     /// Observed run time against the owner's estimate, by class, smoothed.
     pub class_bias: HashMap<ClassIx, (f64, f64)>,
 }
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -47,12 +47,13 @@
     /// What GPU work of the last minutes asked for, each shape once.
     fn note_gpu_shapes(&mut self, now: Ms) {
         let mut shapes = std::mem::take(&mut self.gpu_shapes);
-        shapes.retain(|(_, seen)| now < seen + GPU_SHAPE_MS);
+        shapes.retain(|(_, seen, _)| now < seen + GPU_SHAPE_MS);
         for job in self.active.iter().filter_map(|&j| self.job(j)).filter(|j| j.spec.gpus > 0.0) {
-            let same = |(s, _): &(Rc<JobSpec>, Ms)| Res::of(s) == Res::of(&job.spec) && s.types == job.spec.types;
+            let same =
+                |(s, _, _): &(Rc<JobSpec>, Ms, i64)| Res::of(s) == Res::of(&job.spec) && s.types == job.spec.types;
             match shapes.iter().position(same) {
-                Some(n) => shapes[n].1 = now,
-                None if shapes.len() < 32 => shapes.push((job.spec.clone(), now)),
+                Some(n) => (shapes[n].1, shapes[n].2) = (now, shapes[n].2.max(job.since)),
+                None if shapes.len() < 32 => shapes.push((job.spec.clone(), now, job.since)),
                 None => {}
             }
         }
@@ -61,7 +62,7 @@
 
     fn guard_of(&self, t: &TypeInfo, spot: bool) -> Option<Res> {
         let mut guard: Option<Res> = None;
-        for (s, _) in &self.gpu_shapes {
+        for (s, _, _) in &self.gpu_shapes {
             if t.cap.gpus > 0.0 && s.allows_type(t.ix) && (s.spot || !spot) && Res::of(s).fits_in(&t.cap) {
                 let g = guard.get_or_insert(Res::of(s));
                 let s = Res::of(s);
