--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -313,6 +313,7 @@
         }
         candidates.sort_by(|a, b| b.0.total_cmp(&a.0));
         let base = self.picture_with_headroom(now);
+        let zones = self.ledger().zones;
         for (price, ix) in candidates.into_iter().take(4) {
             let mut picture = base.clone();
             for h in &mut picture.hosts {
@@ -324,16 +325,9 @@
                 let Some(place) = self.place(p) else { return false };
                 let Some(job) = self.job(place.job) else { return false };
                 // Its other replicas keep their zones.
-                let mut zone_used = Vec::new();
-                for s in &job.slots {
-                    if let Slot::At(q) = s {
-                        if let Some(q) = self.place(*q).filter(|_| *q != p) {
-                            if zone_used.len() <= q.zone.at() {
-                                zone_used.resize(q.zone.at() + 1, 0);
-                            }
-                            zone_used[q.zone.at()] += 1;
-                        }
-                    }
+                let mut zone_used = zones.get(&place.job).cloned().unwrap_or_default();
+                if let Some(n) = zone_used.get_mut(place.zone.at()) {
+                    *n -= 1;
                 }
                 let ask = Ask { spec: &job.spec, tasks: &[place.task], min: 1, zone_used: &zone_used, avoid: &[] };
                 let out = picture.trial(&ask);
@@ -464,6 +458,7 @@
         if !self.fleet.listed_once || now < self.started + settle {
             return;
         }
+        let zones = self.ledger().zones;
         let mut coming = self.coming(now);
         let mut total = self.machines.iter().filter(|m| !matches!(m.life, Life::Gone | Life::Returning)).count()
             + self.pending_rents();
@@ -480,6 +475,7 @@
             let Some(job) = self.job(ix) else { continue };
             let spec = job.spec.clone();
             let need = Res::of(&spec);
+            let held = zones.get(&ix).map_or(&[][..], Vec::as_slice);
             // Boot times vary widely: for replicas more room is ordered than
             // they need, so that those that come up first hold them all. Others'
             // work takes what is left over.
@@ -488,7 +484,7 @@
                 if left == 0 {
                     break;
                 }
-                if self.offer_allows(&c.offer, &spec, ix) {
+                if Leader::offer_allows(&c.offer, &spec, held) {
                     let k = need.times_in(&c.free).min(left);
                     for _ in 0..k {
                         c.free -= need;
@@ -501,7 +497,7 @@
             while left > 0 && tries < 6 && total < self.cfg.max_machines {
                 tries += 1;
                 let alike = of_class.get(&spec.class).copied().unwrap_or(0).max(left);
-                let Some((offer, per)) = self.choose(now, &spec, ix, alike, waited_s) else { break };
+                let Some((offer, per)) = self.choose(now, &spec, held, alike, waited_s) else { break };
                 let count = left.div_ceil(per).min(16).min((self.cfg.max_machines - total) as u32);
                 let Some(cap) = self.types.iter().find(|t| t.ix == offer.0).map(|t| t.cap) else { break };
                 for _ in 0..count {
@@ -581,29 +577,18 @@
         out
     }
 
-    fn offer_allows(&self, offer: &Offer, spec: &JobSpec, job: JobIx) -> bool {
+    /// `held`: the job's places by zone, if it restricts zones.
+    fn offer_allows(offer: &Offer, spec: &JobSpec, held: &[u32]) -> bool {
         if !spec.allows_type(offer.0) || spec.zone.is_some_and(|z| z != offer.1) || (offer.2 && !spec.spot) {
             return false;
         }
-        if !(spec.spread || spec.one_zone) {
-            return true;
-        }
-        let Some(j) = self.job(job) else { return false };
-        let mut here = 0;
-        let mut elsewhere = 0;
-        for s in &j.slots {
-            if let Slot::At(p) = s {
-                match self.place(*p) {
-                    Some(p) if p.zone == offer.1 => here += 1,
-                    _ => elsewhere += 1,
-                }
-            }
-        }
+        let here = held.get(offer.1.at()).copied().unwrap_or(0);
+        let elsewhere = held.iter().sum::<u32>() - here;
         (!spec.spread || here < spec.zone_cap()) && (!spec.one_zone || elsewhere == 0)
     }
 
     /// The cheapest offer for what is left, and how many tasks one machine of it takes.
-    fn choose(&self, now: Ms, spec: &JobSpec, job: JobIx, left: u32, waited_s: f64) -> Option<(Offer, u32)> {
+    fn choose(&self, now: Ms, spec: &JobSpec, held: &[u32], left: u32, waited_s: f64) -> Option<(Offer, u32)> {
         let need = Res::of(spec);
         let mut cheapest = f64::INFINITY;
         let mut best: Option<(f64, Offer, u32)> = None;
@@ -618,7 +603,7 @@
                         continue;
                     }
                     let offer = (t.ix, z, spot);
-                    if !self.offer_allows(&offer, spec, job) {
+                    if !Leader::offer_allows(&offer, spec, held) {
                         continue;
                     }
                     let slots = f64::from(per.min(left.max(1)));
--- a/src/coordination/leader.rs
+++ b/src/coordination/leader.rs
@@ -140,6 +140,7 @@
     tag: u64,
     flying: Option<Flying>,
     drops: VecDeque<(String, u64)>,
+    drop_after: Ms,
     pub commit_after: Ms,
     pub fleet: Fleet,
     pub effects: Vec<Effect>,
@@ -179,6 +180,7 @@
             tag: stamp << 20,
             flying: None,
             drops: VecDeque::new(),
+            drop_after: 0,
             commit_after: 0,
             effects: Vec::new(),
             counts: HashSet::new(),
@@ -1200,7 +1202,7 @@
     /// The next transaction of at most `max_ops` writes: ends and freed places
     /// first, then placements by priority; a tree that doesn't fit waits for
     /// the next one. An unanswered transaction is sent again as it was.
-    pub fn commit(&mut self, max_ops: usize, tables: &Tables) -> Option<Txn> {
+    pub fn commit(&mut self, now: Ms, max_ops: usize, tables: &Tables) -> Option<Txn> {
         if let Some(f) = &mut self.flying {
             if f.sent || !f.resync.is_empty() {
                 return None;
@@ -1273,8 +1275,12 @@
                 txn.conditions.push(Condition { key: records::job_key(&job.id), stamp: job.stamp });
             }
         }
-        while txn.writes.len() < max_ops {
+        // Records of jobs that are over go slowly: a large job's must not take
+        // the budget from anything that somebody waits for.
+        let droppable = if now >= self.drop_after { max_ops.saturating_sub(txn.writes.len()).min(DROPS) } else { 0 };
+        for _ in 0..droppable {
             let Some((key, stamp)) = self.drops.pop_front() else { break };
+            self.drop_after = now + DROP_GAP_MS;
             txn.conditions.push(Condition { key: key.clone(), stamp });
             txn.writes.push(Op::Delete { key: key.clone() });
             drops.push(key);
@@ -1439,6 +1445,10 @@
     }
 }
 
+/// Records dropped at a time, and the pause between.
+const DROPS: usize = 4;
+const DROP_GAP_MS: Ms = 800;
+
 /// Marks, in a flying transaction's tag, that one copy went unanswered.
 const UNSURE: u64 = 1 << 63;
 
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -407,7 +407,7 @@
         if allowed < 1.0 || self.reads.available(now, Urgency::Commit) < 1.0 {
             return;
         }
-        let Some(txn) = l.commit(allowed as usize, &self.tables) else { return };
+        let Some(txn) = l.commit(now, allowed as usize, &self.tables) else { return };
         let _ = self.writes.take(now, txn.writes.len() as f64, Urgency::Lease);
         let _ = self.reads.take(now, 1.0, Urgency::Lease);
         let bytes = cbor::encode(&txn);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -340,6 +340,24 @@
     assert!(w.workers.iter().all(|x| !x.dead), "handed back though alive");
 }
 
+/// A job of 100,000 tasks goes through in parts, and nothing waits behind it.
+fn a_large_job_stalls_nobody(w: &mut World) {
+    w.submit(sub("j-1", "batch", 100_000), 2_000);
+    w.run(10_000);
+    assert!(w.where_is("j-1/0").is_some() || w.completed.contains("j-1/0"));
+    let mut s = sub("j-2", "batch", 4);
+    s.priority = Some("high".into());
+    w.submit(s, 2_000);
+    w.until("the small one is done", 12_000, |w| w.status("j-2") == Status::Done);
+    w.elect();
+    w.run(10_000);
+    assert!(w.cancel("j-1"));
+    w.run(20_000);
+    assert!(w.workers.iter().all(|x| x.tasks.iter().all(|t| t.state == TaskState::Exited)));
+    w.submit(sub("j-3", "batch", 4), 2_000);
+    w.until("the next is done", 12_000, |w| w.status("j-3") == Status::Done);
+}
+
 fn strays_are_adopted(w: &mut World) {
     w.workers.iter_mut().skip(1).for_each(|x| x.dead = true);
     w.submit(sub("j-1", "service", 2), 0);
@@ -376,6 +394,7 @@
         ("rentals", rentals_are_never_doubled),
         ("dead machine", a_dead_machine_goes_back),
         ("machines behind a cut", machines_behind_a_cut_are_kept),
+        ("large job", a_large_job_stalls_nobody),
         ("strays", strays_are_adopted),
     ];
     for (n, (name, case)) in cases.iter().enumerate() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -215,6 +215,15 @@
     pub silent_ms: Ms,
 }
 
+/// Small records, so that small jobs have several.
+fn chunk_size(sub: &Submission) -> u32 {
+    if sub.tasks.unwrap_or(1.0) > 1_000.0 {
+        128
+    } else {
+        4
+    }
+}
+
 pub fn sub(id: &str, kind: &str, tasks: u32) -> Submission {
     Submission {
         name_id: Some(id.into()),
@@ -346,7 +355,8 @@
 
     pub fn submit(&mut self, sub: Submission, run_ms: Ms) {
         let id = sub.name_id.clone().unwrap();
-        let rec = JobRecord { submission: sub.clone(), status: Status::Pending, at_ms: self.now, chunk: 4 };
+        let rec =
+            JobRecord { submission: sub.clone(), status: Status::Pending, at_ms: self.now, chunk: chunk_size(&sub) };
         let txn = Txn {
             conditions: vec![],
             writes: vec![Op::Put { key: records::job_key(&id), v: records::to_value(&rec), permit: None }],
@@ -572,7 +582,8 @@
 
     fn is_written(&self, task: &str, worker: &str, attempt: u64) -> bool {
         let Some((job, n)) = split_task(task) else { return false };
-        let rec = self.store.keys.get(&records::chunk_key(job, n / 4));
+        let size = self.jobs.get(job).map_or(4, |f| chunk_size(&f.sub));
+        let rec = self.store.keys.get(&records::chunk_key(job, n / size));
         let rec = rec.and_then(|(v, _)| v.deserialized::<ChunkRecord>().ok());
         rec.is_some_and(|r| r.places.iter().any(|p| p.0 == n && p.1 == worker && p.3 == attempt))
     }
@@ -697,8 +708,11 @@
         if l.commit_busy() || now < l.commit_after {
             return;
         }
-        let Some(txn) = l.commit(8, &self.tables) else { return };
+        let Some(txn) = l.commit(now, 8, &self.tables) else { return };
         self.txns += 1;
+        if txn.writes.len() > 8 || txn.conditions.len() > 32 {
+            self.broken.push(format!("a transaction of {} writes", txn.writes.len()));
+        }
         let stamp = self.store.keys[records::LEADER].1;
         if !txn.conditions.iter().any(|c| c.key == records::LEADER && c.stamp == stamp) {
             self.broken.push(format!("a transaction that any later leader would let through, at {now}"));
