--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -26,6 +26,8 @@
 /// Room is kept for as many as arrive in this time.
 const HEADROOM_S: f64 = 30.0;
 const HEADROOM_MOST: usize = 4;
+/// The share of its estimate that a run may hope to need.
+const HOPE: f64 = 0.4;
 /// GPU work is expected again for this long after it was last there.
 const GPU_SHAPE_MS: Ms = 900_000;
 
@@ -200,7 +202,9 @@
             if start && job.started {
                 continue;
             }
-            let ends = if start { age } else { age + run + fetch.min(5.0) };
+            // Estimates are often twice too high: a job is given up for an aim
+            // only when it would miss it even then.
+            let ends = if start { age } else { age + HOPE * run + fetch.min(5.0) };
             if ends <= within {
                 return (n as u32, work);
             }
