--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -2,6 +2,8 @@
 
 use std::rc::Rc;
 
+use ciborium::Value;
+
 use super::wiring::{wall_ms, Node, Pending, Waiter};
 use crate::{
     bookkeeping::{
@@ -13,7 +15,7 @@
     protocol::{
         cbor,
         jobs::{valid_id, JobAnswer, PollAnswer, Refusal, Submission},
-        store::{Condition, Op, Txn},
+        store::{Condition, Epoch, Op, Txn},
     },
     transport::{CallError, ConnId, Net, Reply},
 };
@@ -53,6 +55,60 @@
         self.mirror.get(ix).status != Status::Pending
     }
 
+    /// One conditional write of a job's record, if the budget allows it now.
+    #[allow(clippy::too_many_arguments)]
+    fn write_record(
+        &mut self,
+        net: &mut Net,
+        conn: ConnId,
+        urgency: Urgency,
+        key: String,
+        stamp: u64,
+        v: Value,
+        what: Pending,
+    ) {
+        let now = net.now();
+        if let Err(wait) = self.reads.take(now, 1.0, urgency).and_then(|()| self.writes.take(now, 1.0, urgency)) {
+            return self.over_budget(net, conn, wait);
+        }
+        let txn = Txn {
+            conditions: vec![Condition { key: key.clone(), stamp }],
+            writes: vec![Op::Put { key, v, permit: None }],
+        };
+        self.ask_state(net, what, "POST", "/multi".into(), cbor::encode(&txn), 2_500);
+    }
+
+    /// How such a write ended: applied, or the record had changed. None: it
+    /// could not be done, and the user was told so.
+    fn wrote(
+        &mut self,
+        net: &mut Net,
+        conn: ConnId,
+        id: &str,
+        record: &JobRecord,
+        result: &Result<Reply, CallError>,
+    ) -> Option<bool> {
+        match result {
+            Ok(r) if r.status == 200 => {
+                if let Ok(e) = cbor::decode::<Epoch>(&r.body) {
+                    let v = records::to_value(record);
+                    self.mirror.put(&records::job_key(id), &v, e.epoch, &mut self.tables);
+                }
+                Some(true)
+            }
+            Ok(r) if r.status == 409 => Some(false),
+            Ok(r) if r.status == 429 => {
+                self.writes.refused(net.now());
+                net.respond(conn, 429, Some(TRY_AGAIN_S), b"");
+                None
+            }
+            _ => {
+                self.unavailable(net, conn);
+                None
+            }
+        }
+    }
+
     // ---- submit --------------------------------------------------------
 
     pub fn submit(&mut self, net: &mut Net, conn: ConnId, body: &[u8]) {
@@ -109,18 +165,9 @@
         if records::json_size(&v) as f64 > self.settings.cluster.state.value_kb * 1024.0 {
             return net.respond(conn, 400, None, b"");
         }
-        if let Err(wait) =
-            self.reads.take(now, 1.0, Urgency::Submit).and_then(|()| self.writes.take(now, 1.0, Urgency::Submit))
-        {
-            return self.over_budget(net, conn, wait);
-        }
         let key = records::job_key(&id);
-        let txn = Txn {
-            conditions: vec![Condition { key: key.clone(), stamp: 0 }],
-            writes: vec![Op::Put { key, v, permit: None }],
-        };
         let what = Pending::Submit { conn, id, record };
-        self.ask_state(net, what, "POST", "/multi".into(), cbor::encode(&txn), 2_500);
+        self.write_record(net, conn, Urgency::Submit, key, 0, v, what);
     }
 
     pub fn submitted(
@@ -131,20 +178,10 @@
         record: &JobRecord,
         result: Result<Reply, CallError>,
     ) {
-        match result {
-            Ok(r) if r.status == 200 => {
-                if let Ok(e) = cbor::decode::<crate::protocol::store::Epoch>(&r.body) {
-                    let v = records::to_value(record);
-                    self.mirror.put(&records::job_key(&id), &v, e.epoch, &mut self.tables);
-                }
-                self.job_answer(net, conn, 201, &id, "pending");
-            }
-            Ok(r) if r.status == 409 => self.barrier.join(net.now(), Waiter::Known { conn, id }),
-            Ok(r) if r.status == 429 => {
-                self.writes.refused(net.now());
-                net.respond(conn, 429, Some(TRY_AGAIN_S), b"");
-            }
-            _ => self.unavailable(net, conn),
+        match self.wrote(net, conn, &id, record, &result) {
+            Some(true) => self.job_answer(net, conn, 201, &id, "pending"),
+            Some(false) => self.barrier.join(net.now(), Waiter::Known { conn, id }),
+            None => {}
         }
     }
 
@@ -178,21 +215,10 @@
                 let (Some(record), stamp) = (e.record.clone(), e.stamp) else {
                     return self.unavailable(net, conn);
                 };
-                if let Err(wait) = self
-                    .reads
-                    .take(now, 1.0, Urgency::Cancel)
-                    .and_then(|()| self.writes.take(now, 1.0, Urgency::Cancel))
-                {
-                    return self.over_budget(net, conn, wait);
-                }
                 let record = Rc::new(JobRecord { status: Status::Cancelled, ..(*record).clone() });
-                let key = records::job_key(&id);
-                let txn = Txn {
-                    conditions: vec![Condition { key: key.clone(), stamp }],
-                    writes: vec![Op::Put { key, v: records::to_value(&*record), permit: None }],
-                };
+                let (key, v) = (records::job_key(&id), records::to_value(&*record));
                 let what = Pending::Abort { conn, id, record, tries };
-                self.ask_state(net, what, "POST", "/multi".into(), cbor::encode(&txn), 2_500);
+                self.write_record(net, conn, Urgency::Cancel, key, stamp, v, what);
             }
             None if !self.mirror.loaded() => self.unavailable(net, conn),
             None => self.barrier.join(now, Waiter::Abort { conn, id, tries }),
@@ -208,23 +234,14 @@
         tries: u32,
         result: Result<Reply, CallError>,
     ) {
-        match result {
-            Ok(r) if r.status == 200 => {
-                if let Ok(e) = cbor::decode::<crate::protocol::store::Epoch>(&r.body) {
-                    let v = records::to_value(record);
-                    self.mirror.put(&records::job_key(&id), &v, e.epoch, &mut self.tables);
-                }
-                self.job_answer(net, conn, 200, &id, "cancelled");
-            }
+        match self.wrote(net, conn, &id, record, &result) {
+            Some(true) => self.job_answer(net, conn, 200, &id, "cancelled"),
             // Done or cancelled meanwhile: read, then decide anew.
-            Ok(r) if r.status == 409 && tries < 3 => {
+            Some(false) if tries < 3 => {
                 self.barrier.join(net.now(), Waiter::Abort { conn, id, tries: tries + 1 });
             }
-            Ok(r) if r.status == 429 => {
-                self.writes.refused(net.now());
-                net.respond(conn, 429, Some(TRY_AGAIN_S), b"");
-            }
-            _ => self.unavailable(net, conn),
+            Some(false) => self.unavailable(net, conn),
+            None => {}
         }
     }
 
