--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,10 @@
 
 mod world;
 
-use shedhook::{bookkeeping::records::Status, protocol::workers::TaskState};
+use shedhook::{
+    bookkeeping::records::Status,
+    protocol::workers::{TaskReport, TaskState},
+};
 use world::{sub, Held, Weather, World, LEASE};
 
 type Case = (&'static str, fn(&mut World));
@@ -116,20 +119,7 @@
 /// not list the task; that must not free its place.
 fn a_late_report_from_before_the_launch(w: &mut World) {
     w.run(4_000);
-    let early: Vec<_> = (0..w.workers.len())
-        .map(|n| shedhook::protocol::workers::Report {
-            machine: w.workers[n].id.clone(),
-            addr: "127.0.0.1:9".into(),
-            machine_type: "m".into(),
-            zone: w.workers[n].zone.clone(),
-            spot: false,
-            session: 1,
-            seq: w.workers[n].seq,
-            token: w.workers[n].token,
-            notice_s: None,
-            tasks: vec![],
-        })
-        .collect();
+    let early: Vec<_> = (0..w.workers.len()).map(|n| w.report_of(n)).collect();
     w.submit(sub("j-1", "service", 3), 0);
     w.until("runs", 10_000, |w| w.where_is("j-1/2").is_some());
     for x in &mut w.workers {
@@ -358,6 +348,41 @@
     w.until("the next is done", 12_000, |w| w.status("j-3") == Status::Done);
 }
 
+/// Guard: reports are ordered by session and number; what is older than what
+/// is known, or of a session that was counted out, changes nothing.
+fn old_reports_change_nothing(w: &mut World) {
+    w.submit(sub("j-0", "batch", 1), 1_000);
+    let mut s = sub("j-1", "batch", 1);
+    s.zone = Some("nowhere".into());
+    w.submit(s, 1_000);
+    w.run(10_000);
+    let ghost = |w: &World, seq: u64| {
+        let mut r = w.report_of(0);
+        r.seq = seq;
+        r.tasks =
+            vec![TaskReport { task: "j-1/0".into(), attempt: 1, state: TaskState::Running, why: None, saved: None }];
+        Held::Report(r)
+    };
+    let placed = |w: &World| {
+        let ix = w.mirror.find("j-1").unwrap();
+        w.leader.as_ref().unwrap().job(ix).unwrap().placed
+    };
+    let early = ghost(w, 1);
+    w.held.push((w.now, early));
+    w.run(200);
+    assert_eq!(placed(w), 0, "an older report was believed");
+    let mut s = sub("j-2", "service", 4);
+    s.zone = Some("a".into());
+    w.submit(s, 0);
+    w.until("runs", 10_000, |w| w.where_is("j-2/0").is_some());
+    let late = ghost(w, 1 << 40);
+    w.workers.iter_mut().for_each(|x| x.cut = true);
+    w.run(LEASE + 3_000);
+    w.held.push((w.now, late));
+    w.run(200);
+    assert_eq!(placed(w), 0, "a report of a dead session was believed");
+}
+
 fn strays_are_adopted(w: &mut World) {
     w.workers.iter_mut().skip(1).for_each(|x| x.dead = true);
     w.submit(sub("j-1", "service", 2), 0);
@@ -395,6 +420,7 @@
         ("dead machine", a_dead_machine_goes_back),
         ("machines behind a cut", machines_behind_a_cut_are_kept),
         ("large job", a_large_job_stalls_nobody),
+        ("old reports", old_reports_change_nothing),
         ("strays", strays_are_adopted),
     ];
     for (n, (name, case)) in cases.iter().enumerate() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -858,6 +858,23 @@
         Some(ids)
     }
 
+    /// What a worker last could have reported.
+    pub fn report_of(&self, n: usize) -> Report {
+        let w = &self.workers[n];
+        Report {
+            machine: w.id.clone(),
+            addr: "127.0.0.1:9".into(),
+            machine_type: "m".into(),
+            zone: w.zone.clone(),
+            spot: w.spot,
+            session: w.session,
+            seq: w.seq,
+            token: w.token,
+            notice_s: None,
+            tasks: Vec::new(),
+        }
+    }
+
     /// Where a task is, by worker number.
     pub fn where_is(&self, task: &str) -> Option<usize> {
         self.workers.iter().position(|w| World::holds(w, task))
