Shares of the state service's limits follow need; one watch fewer a follower

Now controllers tell one another what they use; each may use what the others don't, never less than its least part; barrier reads are spaced by the number of controllers.

--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -32,14 +32,45 @@
     burst: f64,
     level: f64,
     at: u64,
+    spent: f64,
+    spent_from: u64,
+    used: f64,
+}
+
+/// The part of a service's limit that is shared out; the rest is for what the
+/// service counts and we don't.
+const SHARED: f64 = 0.95;
+/// Whoever leads may always use this part; the others this one, together.
+const LEADERS: f64 = 0.5;
+const OTHERS: f64 = 0.3;
+
+/// One controller's rate under a limit that all share: what the others do not
+/// use, and never less than its least part. `others`: what each other
+/// controller uses a second, or None for one that wasn't heard lately.
+pub fn share(limit: f64, leading: bool, others: &[Option<f64>]) -> f64 {
+    let n = others.len().max(1) as f64;
+    let least = limit * if leading { LEADERS } else { OTHERS / n };
+    let silent = limit * OTHERS / n;
+    let used: f64 = others.iter().map(|o| o.map_or(silent, |u| u.max(0.01 * limit))).sum();
+    (SHARED * limit - used).max(least)
 }
 
 impl Budget {
     pub fn new(rate: f64, burst: f64) -> Budget {
-        Budget { rate, burst, level: burst, at: 0 }
+        Budget { rate, burst, level: burst, at: 0, spent: 0.0, spent_from: 0, used: 0.0 }
+    }
+
+    /// What was taken a second, smoothed; counted anew from `now` on.
+    pub fn used(&mut self, now: u64) -> f64 {
+        let ms = now.saturating_sub(self.spent_from);
+        if ms >= 100 {
+            self.used += (self.spent / ms as f64 * 1000.0 - self.used) * 0.4;
+            (self.spent, self.spent_from) = (0.0, now);
+        }
+        self.used
     }
 
-    /// Changes the rate, as when this controller begins or ceases to lead.
+    /// Changes the rate, as when others use less or this controller begins to lead.
     pub fn set(&mut self, rate: f64, burst: f64) {
         self.rate = rate;
         self.burst = burst;
@@ -60,6 +91,7 @@
         let need = (n + floor.max(0.0)).min(self.burst);
         if urgency == Urgency::Lease || self.level >= need {
             self.level -= n;
+            self.spent += n;
             return Ok(());
         }
         Err((((need - self.level) / self.rate) * 1000.0).ceil() as u64)
@@ -106,4 +138,30 @@
         b.refused(0);
         assert_eq!(b.take(0, 1.0, Urgency::Cancel), Err(100));
     }
+
+    /// Guard: fixed shares left half of the limit unused while submissions were
+    /// refused; whoever is silent keeps its part.
+    #[test]
+    fn shares_follow_need() {
+        let (idle, silent) = (Some(0.0), None);
+        // (leading, others, at least, at most), of a limit of 100
+        let cases: [(bool, &[Option<f64>], f64, f64); 6] = [
+            (true, &[idle; 4], 90.0, 95.0),
+            (true, &[silent; 4], 60.0, 70.0),
+            (true, &[Some(30.0); 4], 50.0, 50.0),
+            (false, &[Some(60.0), idle, idle, idle], 30.0, 35.0),
+            (false, &[Some(95.0), idle, idle, idle], 7.5, 7.5),
+            (false, &[], 90.0, 95.0),
+        ];
+        for (leading, others, least, most) in cases {
+            let got = share(100.0, leading, others);
+            assert!((least..=most).contains(&got), "{leading} {others:?}: {got}");
+        }
+        let mut b = Budget::new(100.0, 100.0);
+        for ms in 0..50 {
+            let _ = b.take(ms * 100, 2.0, Urgency::Submit);
+            b.used(ms * 100);
+        }
+        assert!((19.0..21.0).contains(&b.used(4_900)), "{}", b.used(4_900));
+    }
 }
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -3,10 +3,10 @@
 
 use std::collections::HashSet;
 
-use super::wiring::{wall_ms, Node, Pending};
+use super::wiring::{wall_ms, Node, Peer, Pending};
 use crate::{
     bookkeeping::{
-        budget::Urgency,
+        budget::{share, Urgency},
         records::{self, LeaderRecord},
     },
     coordination::{
@@ -26,7 +26,10 @@
 
 const WATCH_MS: u64 = 10_000;
 const GOSSIP_MS: Ms = 400;
+/// Between two reads for the barrier, for each controller that does the same.
 const BARRIER_GAP_MS: Ms = 40;
+/// A peer not heard for this long may use its whole part of the budgets.
+const PEER_SILENT_MS: Ms = 2_000;
 const PASS_GAP_MS: Ms = 40;
 const GIVE_WAY_MS: Ms = 8_000;
 
@@ -108,7 +111,7 @@
     fn flush_barrier(&mut self, net: &mut Net) {
         let now = net.now();
         if self.barrier.due(now) {
-            self.barrier.sent(now, BARRIER_GAP_MS);
+            self.barrier.sent(now, BARRIER_GAP_MS * (self.peers.len() as Ms + 1));
             if self.reads.take(now, 1.0, Urgency::Cancel).is_err() {
                 let waiters = self.barrier.ended();
                 return self.refuse_all(net, waiters);
@@ -225,12 +228,16 @@
             state_age_ms: now.saturating_sub(self.state_ok),
             knocks: self.knocks.len() as u32,
             leading,
+            reads_used: self.reads.used(now),
+            writes_used: self.writes.used(now),
             counts,
         };
         let bytes = peers::encode(&g);
         for p in &self.peers {
             net.send_frame(p.link, &bytes);
         }
+        self.budget_leading = None;
+        self.set_budgets(now, leading);
     }
 
     // ---- workers ---------------------------------------------------------
@@ -278,22 +285,27 @@
 
     // ---- leading ---------------------------------------------------------
 
-    fn set_budgets(&mut self, leading: bool) {
+    /// Shares follow need: what peers say they use is left to them.
+    fn set_budgets(&mut self, now: Ms, leading: bool) {
         if self.budget_leading == Some(leading) {
             return;
         }
         self.budget_leading = Some(leading);
         let st = &self.settings.cluster.state;
-        let n = (self.peers.len() as f64).max(1.0);
-        let (r, w) = if leading { (0.5, 0.6) } else { (0.45 / n, 0.4 / n) };
-        self.reads.set(st.rps * r, st.rps * r);
-        self.writes.set(st.write_rps * w, (st.write_rps * w).max(4.0));
+        let used = |of: fn(&Peer) -> f64| -> Vec<Option<f64>> {
+            self.peers.iter().map(|p| p.heard.filter(|h| now < h + PEER_SILENT_MS).map(|_| of(p))).collect()
+        };
+        let burst = if leading { 0.5 } else { 0.2 };
+        let (r, w) =
+            (share(st.rps, leading, &used(|p| p.reads_used)), share(st.write_rps, leading, &used(|p| p.writes_used)));
+        self.reads.set(r, st.rps * burst);
+        self.writes.set(w, (st.write_rps * burst).max(4.0));
     }
 
     fn lead(&mut self, net: &mut Net) {
         let now = net.now();
         let leading = self.election.leading(now);
-        self.set_budgets(leading.is_some());
+        self.set_budgets(now, leading.is_some());
         if let Some(l) = &self.leader {
             if self.election.holds_key() != Some(l.stamp) {
                 tracing::warn!(stamp = l.stamp, "no longer leading");
@@ -541,7 +553,8 @@
             }
             Pending::JobsWatch => {
                 self.jobs_watch.in_flight = false;
-                let gap = if self.leader.is_some() { 10 } else { 150 };
+                // Others need no watch of their own: what users ask brings it up to date.
+                let gap = if self.leader.is_some() { 10 } else { 1_000 };
                 self.jobs_watch.after = now + if self.apply_changes(&result) { gap } else { 250 };
             }
             Pending::Barrier => {
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -104,6 +104,8 @@
     pub state_age: Ms,
     pub knocks: u32,
     pub leading: bool,
+    pub reads_used: f64,
+    pub writes_used: f64,
 }
 
 /// A read or watch that is kept going: at most one at a time, again after a pause.
@@ -179,6 +181,8 @@
                 state_age: Ms::MAX,
                 knocks: 0,
                 leading: false,
+                reads_used: 0.0,
+                writes_used: 0.0,
             })
             .collect();
         let election = Election::new(&settings.label, nonce, operator.leader_ttl_ms);
@@ -408,6 +412,7 @@
         p.state_age = g.state_age_ms;
         p.knocks = g.knocks;
         p.leading = g.leading;
+        (p.reads_used, p.writes_used) = (g.reads_used, g.writes_used);
         for c in g.counts {
             self.mirror.show(&c.job, c.done, c.running);
         }
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -13,6 +13,9 @@
     /// Workers' reports this controller turned away in the last seconds.
     pub knocks: u32,
     pub leading: bool,
+    /// What the sender uses a second of the state service's limits.
+    pub reads_used: f64,
+    pub writes_used: f64,
     /// From the leader: counts of jobs that changed lately, for display.
     pub counts: Vec<Count>,
 }
@@ -44,6 +47,8 @@
             state_age_ms: 3,
             knocks: 1,
             leading: true,
+            reads_used: 7.5,
+            writes_used: 0.5,
             counts: vec![Count { job: "j-1".into(), done: 2, running: 3 }],
         };
         let bytes = encode(&g);
