Ends are written together, placements first

Ends now wait up to 8 s for one another; records of cancelled jobs are not rewritten; passes come less often while the budget for writes is low.

--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -97,6 +97,10 @@
         Err((((need - self.level) / self.rate) * 1000.0).ceil() as u64)
     }
 
+    pub fn burst(&self) -> f64 {
+        self.burst
+    }
+
     /// What may be taken now.
     pub fn available(&mut self, now: u64, urgency: Urgency) -> f64 {
         self.fill(now);
--- a/src/coordination/leader/commits.rs
+++ b/src/coordination/leader/commits.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 
+/// Ends wait this long for others to be written with them; less when there is
+/// budget to spare.
+const ENDS_MS: Ms = 8_000;
+const ENDS_SPARE_MS: Ms = 1_500;
+
 impl Leader {
     pub(super) fn chunk_value(&self, job: &Job, chunk: usize, tag: u64, tables: &Tables) -> Value {
         let from = chunk * job.chunk_size as usize;
@@ -34,17 +39,50 @@
         self.flying.as_ref().filter(|f| !f.sent).and_then(|f| f.resync.last()).map(String::as_str)
     }
 
-    /// True when something is to be written.
-    pub fn has_writes(&self) -> bool {
+    /// How urgently a job's records are to be written, if at all; less is
+    /// sooner. Ends wait for one another: nothing but the reaping of what has
+    /// ended depends on them, and a later leader learns them from the workers.
+    fn write_class(job: &Job, now: Ms, spare: bool) -> Option<u8> {
+        if job.stale {
+            return None;
+        }
+        if job.status != Status::Pending {
+            return None; // its records are dropped once all of it is gone
+        }
+        if job.all_done() {
+            return Some(0);
+        }
+        if job.is_urgent() {
+            return Some(match job.spec.priority {
+                Priority::Production => 1,
+                Priority::High => 2,
+                Priority::Normal => 3,
+                Priority::Low => 4,
+            });
+        }
+        let age = now.saturating_sub(job.unwritten_since?);
+        (age >= if spare { ENDS_SPARE_MS } else { ENDS_MS }).then_some(5)
+    }
+
+    /// True when something is to be written. `spare`: more may be written than is asked for.
+    pub fn has_writes(&mut self, now: Ms, spare: bool) -> bool {
+        for &ix in &self.active {
+            if let Some(j) = self.jobs.get_mut(ix.at()).and_then(Option::as_mut) {
+                if j.unwritten_since.is_none() && j.is_dirty() {
+                    j.unwritten_since = Some(now);
+                }
+            }
+        }
         self.flying.is_some()
-            || !self.drops.is_empty()
-            || self.active.iter().any(|&j| self.job(j).is_some_and(|j| !j.stale && (j.is_dirty() || j.all_done())))
+            || (spare && !self.drops.is_empty())
+            || self.active.iter().any(|&j| self.job(j).is_some_and(|j| Leader::write_class(j, now, spare).is_some()))
     }
 
-    /// The next transaction of at most `max_ops` writes: ends and freed places
-    /// first, then placements by priority; a tree that doesn't fit waits for
-    /// the next one. An unanswered transaction is sent again as it was.
-    pub fn commit(&mut self, now: Ms, max_ops: usize, tables: &Tables) -> Option<Txn> {
+    /// The next transaction of at most `max_ops` writes: jobs that are done
+    /// first, then placements by priority, then ends that have waited; a tree
+    /// that doesn't fit waits for the next one. An unanswered transaction is
+    /// sent again as it was.
+    pub fn commit(&mut self, now: Ms, max_ops: usize, spare: bool, tables: &Tables) -> Option<Txn> {
         if let Some(f) = &mut self.flying {
             if f.sent || !f.resync.is_empty() {
                 return None;
@@ -57,20 +95,7 @@
             .active
             .iter()
             .filter_map(|&ix| self.job(ix))
-            .filter(|j| !j.stale && (j.all_done() || j.is_dirty()))
-            .map(|j| {
-                let class = if j.all_done() || j.status == Status::Cancelled {
-                    0
-                } else {
-                    match j.spec.priority {
-                        Priority::Production => 1,
-                        Priority::High => 2,
-                        Priority::Normal => 3,
-                        Priority::Low => 4,
-                    }
-                };
-                (class, j.since, j.ix)
-            })
+            .filter_map(|j| Some((Leader::write_class(j, now, spare)?, j.since, j.ix)))
             .collect();
         order.sort_unstable();
         self.tag += 1;
@@ -79,7 +104,7 @@
         let (mut chunks, mut dones, mut drops) = (Vec::new(), Vec::new(), Vec::new());
         let mut size = 0;
         const MAX_BYTES: usize = 48 * 1024;
-        for (_, _, ix) in order {
+        for (class, _, ix) in order {
             let left = max_ops.saturating_sub(txn.writes.len());
             if left == 0 || size > MAX_BYTES {
                 break;
@@ -95,8 +120,8 @@
                 txn.writes.push(Op::Put { key: records::job_key(&job.id), v, permit: None });
                 dones.push(ix);
             } else {
-                let dirty: Vec<usize> =
-                    (0..job.chunks.len()).filter(|&c| job.chunks[c].ver != job.chunks[c].committed).collect();
+                let due = |c: &Chunk| c.urgent > c.committed || (class == 5 && c.ver != c.committed);
+                let dirty: Vec<usize> = (0..job.chunks.len()).filter(|&c| due(&job.chunks[c])).collect();
                 // Split between trees, unless one alone is more than a transaction takes.
                 if dirty.len() > left && left < max_ops {
                     continue;
@@ -119,7 +144,8 @@
         }
         // Records of jobs that are over go slowly: a large job's must not take
         // the budget from anything that somebody waits for.
-        let droppable = if now >= self.drop_after { max_ops.saturating_sub(txn.writes.len()).min(DROPS) } else { 0 };
+        let droppable =
+            if spare && now >= self.drop_after { max_ops.saturating_sub(txn.writes.len()).min(DROPS) } else { 0 };
         for _ in 0..droppable {
             let Some((key, stamp)) = self.drops.pop_front() else { break };
             self.drop_after = now + DROP_GAP_MS;
@@ -220,6 +246,7 @@
                 Some(job) => {
                     job.chunks[c].committed = job.chunks[c].committed.max(ver);
                     job.chunks[c].stamp = epoch;
+                    job.unwritten_since = None;
                 }
                 None => tracing::debug!("records of a job that is over were written"),
             }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -285,6 +285,7 @@
             running: 0,
             not_before: 0,
             stale: false,
+            unwritten_since: None,
             started: false,
             errors: 0,
             error_on: Vec::new(),
--- a/src/coordination/leader/places.rs
+++ b/src/coordination/leader/places.rs
@@ -19,6 +19,8 @@
             return None;
         }
         let ver = job.touch(task);
+        let chunk = job.chunk_of(task);
+        job.chunks[chunk].urgent = ver;
         job.placed += 1;
         job.started = true;
         job.last_placed = now;
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -107,6 +107,8 @@
 pub struct Chunk {
     pub ver: u64,
     pub committed: u64,
+    /// The version that last gained a place: its launch waits for the write.
+    pub urgent: u64,
     pub stamp: u64,
 }
 
@@ -131,6 +133,8 @@
     pub not_before: Ms,
     /// A transaction found the record changed; wait until the mirror shows it.
     pub stale: bool,
+    /// Since when ends wait to be written.
+    pub unwritten_since: Option<Ms>,
     /// Something ran before: later tasks may trigger eviction on their own.
     pub started: bool,
     pub errors: u32,
@@ -165,6 +169,11 @@
         self.chunks.iter().any(|c| c.ver != c.committed)
     }
 
+    /// A place waits to be written.
+    pub fn is_urgent(&self) -> bool {
+        self.chunks.iter().any(|c| c.urgent > c.committed)
+    }
+
     pub fn age_s(&self, now: Ms) -> f64 {
         (now as i64 - self.since) as f64 / 1000.0
     }
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -31,6 +31,10 @@
 /// A peer not heard for this long may use its whole part of the budgets.
 const PEER_SILENT_MS: Ms = 2_000;
 const PASS_GAP_MS: Ms = 40;
+const SLOW_PASS_GAP_MS: Ms = 300;
+/// Shares of the burst below and above which writes are scarce and to spare.
+const LOW: f64 = 0.4;
+const SPARE: f64 = 0.6;
 const GIVE_WAY_MS: Ms = 8_000;
 
 fn status(result: &Result<Reply, CallError>) -> u16 {
@@ -337,7 +341,10 @@
         l.note_idle(now);
         l.fleet_step(now, &self.tables);
         let gap = now.saturating_sub(l.last_pass);
-        if (l.dirty && gap >= PASS_GAP_MS) || gap >= 1_000 {
+        // While the budget for writes is low, a pass places more at a time, so
+        // that one write carries more.
+        let low = self.writes.available(now, Urgency::Commit) < LOW * self.writes.burst();
+        if (l.dirty && gap >= if low { SLOW_PASS_GAP_MS } else { PASS_GAP_MS }) || gap >= 1_000 {
             l.pass(now);
         }
         self.commit(net, stamp);
@@ -412,14 +419,15 @@
             }
             return;
         }
-        if !l.has_writes() {
+        let allowed = self.writes.available(now, Urgency::Commit);
+        let spare = allowed > SPARE * self.writes.burst();
+        if !l.has_writes(now, spare) {
             return;
         }
-        let allowed = self.writes.available(now, Urgency::Commit);
         if allowed < 1.0 || self.reads.available(now, Urgency::Commit) < 1.0 {
             return;
         }
-        let Some(txn) = l.commit(now, allowed as usize, &self.tables) else { return };
+        let Some(txn) = l.commit(now, allowed as usize, spare, &self.tables) else { return };
         let _ = self.writes.take(now, txn.writes.len() as f64, Urgency::Lease);
         let _ = self.reads.take(now, 1.0, Urgency::Lease);
         let bytes = cbor::encode(&txn);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -708,7 +708,12 @@
         if l.commit_busy() || now < l.commit_after {
             return;
         }
-        let Some(txn) = l.commit(now, 8, &self.tables) else { return };
+        // Now and then there is budget to spare.
+        let spare = now / 1_000 % 4 == 0;
+        if !l.has_writes(now, spare) {
+            return;
+        }
+        let Some(txn) = l.commit(now, 8, spare, &self.tables) else { return };
         self.txns += 1;
         if txn.writes.len() > 8 || txn.conditions.len() > 32 {
             self.broken.push(format!("a transaction of {} writes", txn.writes.len()));
