--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet: what is rented for work that waits, and what is handed back.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 use super::{
     leader::{Effect, Leader},
@@ -152,23 +152,27 @@
         // those too. Where it has no others, those of all zones speak for it,
         // after twice the time.
         let report_ms = self.cfg.report_ms;
+        // When each zone's machines were last heard, the latest last.
+        let mut heard_in: HashMap<Option<ZoneIx>, Vec<Ms>> = HashMap::new();
+        if self.machines.iter().any(silent) {
+            for m in self.machines.iter().filter(|m| m.life == Life::Up || inherited(m)) {
+                for z in [None, Some(m.zone)] {
+                    heard_in.entry(z).or_default().push(m.heard.unwrap_or(0));
+                }
+            }
+            heard_in.values_mut().for_each(|l| l.sort_unstable());
+        }
         let alone = |suspect: &Machine| {
             let since = suspect.heard.unwrap_or(self.started + report_ms);
             let due = since + report_ms * 5 / 4 + 100;
-            let others = |same_zone: bool| {
-                let all = self.machines.iter().filter(|m| {
-                    (m.life == Life::Up || inherited(m)) && m.id != suspect.id && (!same_zone || m.zone == suspect.zone)
-                });
-                let (mut heard, mut n) = (0, 0);
-                for m in all {
-                    n += 1;
-                    heard += usize::from(m.heard.is_some_and(|h| h > due));
-                }
-                (heard, n)
+            // It is one of them itself, and was not heard.
+            let others = |zone: Option<ZoneIx>| {
+                let l = heard_in.get(&zone).map_or(&[][..], Vec::as_slice);
+                (l.len() - l.partition_point(|&h| h <= due), l.len().saturating_sub(1))
             };
-            match others(true) {
+            match others(Some(suspect.zone)) {
                 (_, 0) => {
-                    let (heard, n) = others(false);
+                    let (heard, n) = others(None);
                     heard * 3 > n && now > since + 2 * self.cfg.silent_ms
                 }
                 (heard, n) => heard * 3 >= n && self.zone_sound(now, suspect.zone),
@@ -217,6 +221,7 @@
             }
             m.life = Life::Returning;
             m.return_after = now + 2_500;
+            self.refresh(now, ix);
         }
         let call = self.call_id();
         let names = ids.iter().map(|(ix, _)| self.machine(*ix).id.clone()).collect();
@@ -312,28 +317,12 @@
             }
         }
         candidates.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let base = self.picture_with_headroom(now);
-        let zones = self.ledger().zones;
+        self.keep_all_headroom(now);
+        let kept = self.picture.reservations();
         for (price, ix) in candidates.into_iter().take(4) {
-            let mut picture = base.clone();
-            for h in &mut picture.hosts {
-                // Not to empty machines, nor to any that hold the machine's like.
-                let busy = !self.machine(h.ix).places.is_empty();
-                h.open &= busy && h.ix != ix && !h.gpu_only;
-            }
-            let all = self.machine(ix).places.iter().all(|&p| {
-                let Some(place) = self.place(p) else { return false };
-                let Some(job) = self.job(place.job) else { return false };
-                // Its other replicas keep their zones.
-                let mut zone_used = zones.get(&place.job).cloned().unwrap_or_default();
-                if let Some(n) = zone_used.get_mut(place.zone.at()) {
-                    *n -= 1;
-                }
-                let ask = Ask { spec: &job.spec, tasks: &[place.task], min: 1, zone_used: &zone_used, avoid: &[] };
-                let out = picture.trial(&ask);
-                out.verdict == Verdict::Success
-                    && out.picks.iter().all(|p| picture.hosts[p.host].images.contains(&job.spec.image))
-            });
+            // Not to empty machines, nor to any that hold the machine's like.
+            let all = self.machine(ix).places.clone().iter().all(|&p| self.has_another_place(ix, p));
+            self.picture.release(kept);
             if !all {
                 continue;
             }
@@ -343,9 +332,37 @@
             for p in m.places.clone() {
                 self.halt(now, p, 0.0);
             }
+            self.refresh(now, ix);
             self.dirty = true;
-            return;
+            break;
+        }
+        self.picture.release(0);
+    }
+
+    /// Room elsewhere for a replica on `from`, where its image is; kept for it.
+    fn has_another_place(&mut self, from: MachineIx, p: PlaceIx) -> bool {
+        let Some(place) = self.place(p) else { return false };
+        let Some(job) = self.job(place.job) else { return false };
+        let (spec, task) = (job.spec.clone(), place.task);
+        // Its other replicas keep their zones.
+        let mut zone_used = job.zone_used.clone();
+        if let Some(n) = zone_used.get_mut(place.zone.at()) {
+            *n -= 1;
         }
+        let ask = Ask {
+            spec: &spec,
+            tasks: &[task],
+            min: 1,
+            zone_used: &zone_used,
+            avoid: &[from],
+            later: false,
+            busy_only: true,
+        };
+        let out = self.picture.trial(&ask);
+        for p in &out.picks {
+            self.picture.reserve(p.host, Res::of(&spec), Res::default());
+        }
+        out.verdict == Verdict::Success && out.picks.iter().all(|p| self.picture.hosts[p.host].has_image(spec.image))
     }
 
     /// What a task of this job costs an hour on the machine type that suits it best.
@@ -360,31 +377,6 @@
             .fold(f64::INFINITY, f64::min)
     }
 
-    /// Notes since when machines have had nothing to do.
-    pub fn note_idle(&mut self, now: Ms) {
-        let gpu_users: HashSet<MachineIx> = self
-            .places
-            .iter()
-            .flatten()
-            .filter(|p| self.job(p.job).is_some_and(|j| j.spec.gpus > 0.0))
-            .map(|p| p.machine)
-            .collect();
-        for (n, m) in self.machines.iter_mut().enumerate() {
-            if m.life == Life::Up {
-                if gpu_users.contains(&MachineIx(n as u32)) {
-                    m.gpu_idle_since = None;
-                } else {
-                    m.gpu_idle_since.get_or_insert(now);
-                }
-                if m.places.is_empty() {
-                    m.idle_since.get_or_insert(now);
-                } else {
-                    m.idle_since = None;
-                }
-            }
-        }
-    }
-
     /// A 200 to a return: the machines and everything on them are gone.
     pub fn returned(&mut self, now: Ms, call: u64, ok: bool) {
         let Some(Call::Return(list)) = self.fleet.calls.remove(&call) else { return };
@@ -394,6 +386,7 @@
                 let m = &mut self.machines[ix.at()];
                 m.life = Life::Gone;
                 m.call = None;
+                self.refresh(now, ix);
             } else {
                 self.machines[ix.at()].return_after = now + 1_000;
             }
@@ -458,7 +451,6 @@
         if !self.fleet.listed_once || now < self.started + settle {
             return;
         }
-        let zones = self.ledger().zones;
         let mut coming = self.coming(now);
         let mut total = self.machines.iter().filter(|m| !matches!(m.life, Life::Gone | Life::Returning)).count()
             + self.pending_rents();
@@ -475,7 +467,7 @@
             let Some(job) = self.job(ix) else { continue };
             let spec = job.spec.clone();
             let need = Res::of(&spec);
-            let held = zones.get(&ix).map_or(&[][..], Vec::as_slice);
+            let held = &job.zone_used[..];
             // Boot times vary widely: for replicas more room is ordered than
             // they need, so that those that come up first hold them all. Others'
             // work takes what is left over.
--- a/src/coordination/leader/commands.rs
+++ b/src/coordination/leader/commands.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 
+/// Orders in one message: it must stay well below the 64 KiB that workers take.
+const ORDERS: usize = 400;
+/// What was sent is sent again after this long without effect.
+const AGAIN_MS: Ms = 2_500;
+
 impl Leader {
     /// What the worker should be told. `all`: everything that isn't in effect
     /// yet (in the answer to a report); otherwise only what was not sent lately.
@@ -9,9 +14,9 @@
         let mut out = Vec::new();
         let mut stamps: Vec<(PlaceIx, bool)> = Vec::new();
         let m = &self.machines[ix.at()];
-        let fresh = |sent: Option<Ms>| sent.is_none_or(|s| now >= s + 2_500);
+        let fresh = |sent: Option<Ms>| sent.is_none_or(|s| now >= s + AGAIN_MS);
         if m.fenced() && (all || m.call.is_none()) {
-            for t in &m.tombs {
+            for t in m.tombs.iter().take(ORDERS / 4) {
                 if t.ver == u64::MAX {
                     // Halt and reap together: whichever applies takes effect.
                     out.push(Order::Halt { task: t.task.clone(), attempt: t.attempt, grace_s: 0.0 });
@@ -30,6 +35,9 @@
             if place.session != m.session || matches!(place.state, PlaceState::Ended(_)) {
                 continue;
             }
+            if out.len() >= ORDERS {
+                break; // the rest comes with the next answer
+            }
             let task = || format!("{}/{}", job.id, place.task);
             if let Some(h) = place.halt {
                 if all || fresh(h.sent) {
@@ -55,12 +63,17 @@
         out
     }
 
-    /// Sends what is new straight to the workers.
+    /// Sends what is new straight to the workers that may have to hear something.
     pub fn push_orders(&mut self, now: Ms) {
-        for n in 0..self.machines.len() {
-            let ix = MachineIx(n as u32);
+        while let Some(&(at, ix)) = self.wake.first().filter(|(at, _)| *at <= now) {
+            self.wake.remove(&(at, ix));
+            let n = ix.at();
             let m = &self.machines[n];
-            if m.places.is_empty() || m.call.is_some() || now < m.call_after || m.life != Life::Up {
+            if m.places.is_empty() || m.call.is_some() || m.life != Life::Up {
+                continue;
+            }
+            if now < m.call_after {
+                self.wake.insert((m.call_after, ix));
                 continue;
             }
             // A token that the worker has not shown yet is told by the answer
@@ -92,6 +105,7 @@
             m.call = Some(DoCall { id: call, sent: now, launches });
             let req = DoRequest { token: m.token, session: m.session, orders };
             self.effects.push(Effect::Do { machine: ix, call, addr, req });
+            self.wake.insert((now + AGAIN_MS + 100, ix));
         }
     }
 
@@ -110,6 +124,8 @@
             return true;
         }
         let Some(done) = m.call.take() else { return true };
+        self.wake.insert((now, ix));
+        let m = &mut self.machines[ix.at()];
         let refused = matches!(outcome, DoOutcome::Refused(_));
         match outcome {
             DoOutcome::Executed(r) | DoOutcome::Refused(r) => {
@@ -146,18 +162,16 @@
         true
     }
 
-    /// Asks workers whose report is overdue. That they don't answer proves
-    /// nothing, but lets their machine be handed back sooner, which does.
-    pub fn probe(&mut self, now: Ms) {
+    /// Asks a worker whose report is overdue. That it doesn't answer proves
+    /// nothing, but lets its machine be handed back sooner, which does.
+    pub(super) fn probe(&mut self, now: Ms, ix: MachineIx) {
         let overdue = self.cfg.report_ms * 5 / 4 + 400;
-        for n in 0..self.machines.len() {
-            let m = &mut self.machines[n];
-            let late = m.heard.is_some_and(|h| now > h + overdue);
-            if m.life == Life::Up && late && !m.probing && !m.places.is_empty() && m.probe_fails < 3 {
-                if let Some(addr) = m.addr {
-                    m.probing = true;
-                    self.effects.push(Effect::Probe { machine: MachineIx(n as u32), addr });
-                }
+        let m = &mut self.machines[ix.at()];
+        let late = m.heard.is_some_and(|h| now > h + overdue);
+        if m.life == Life::Up && late && !m.probing && !m.places.is_empty() && m.probe_fails < 3 {
+            if let Some(addr) = m.addr {
+                m.probing = true;
+                self.effects.push(Effect::Probe { machine: ix, addr });
             }
         }
     }
--- a/src/coordination/leader/commits.rs
+++ b/src/coordination/leader/commits.rs
@@ -235,22 +235,33 @@
 
     fn after_flight(&mut self, jobs: Vec<JobIx>) {
         for ix in jobs {
-            self.retire_cancelled(ix);
+            self.retire_over(ix);
         }
         self.dirty = true;
     }
 
     fn applied(&mut self, now: Ms, f: Flying, epoch: u64) {
+        let mut told: Vec<MachineIx> = Vec::new();
         for &(ix, c, ver) in &f.chunks {
             match self.job_mut(ix) {
                 Some(job) => {
                     job.chunks[c].committed = job.chunks[c].committed.max(ver);
                     job.chunks[c].stamp = epoch;
                     job.unwritten_since = None;
+                    // A gang's launches wait for the last of its records.
+                    let gang = job.spec.kind == Kind::Gang;
+                    let size = job.chunk_size as usize;
+                    let part = c * size..((c + 1) * size).min(job.slots.len());
+                    let slots = if gang { &job.slots[..] } else { &job.slots[part] };
+                    let at = slots.iter().filter_map(|s| if let Slot::At(p) = s { Some(*p) } else { None });
+                    let at: Vec<PlaceIx> = at.collect();
+                    let wanted = |p: &&Place| p.state == PlaceState::Wanted;
+                    told.extend(at.into_iter().filter_map(|p| self.place(p)).filter(wanted).map(|p| p.machine));
                 }
                 None => tracing::debug!("records of a job that is over were written"),
             }
         }
+        self.wake.extend(told.into_iter().map(|m| (now, m)));
         for &ix in &f.dones {
             if let Some(job) = self.job_mut(ix) {
                 job.stamp = epoch;
--- a/src/coordination/leader/leases.rs
+++ b/src/coordination/leader/leases.rs
@@ -2,26 +2,81 @@
 
 use super::*;
 
+/// Machines are looked over this often for what only time tells.
+const SWEEP_MS: Ms = 250;
+
 impl Leader {
-    /// Frees what lease expiry proves gone.
-    pub fn expire(&mut self, now: Ms) {
+    /// What only time tells: leases that ran out, reports that are overdue,
+    /// machines that have nothing to do or may take nothing new.
+    pub fn sweep(&mut self, now: Ms) {
+        if now < self.next_sweep {
+            return;
+        }
+        self.next_sweep = now + SWEEP_MS;
         for n in 0..self.machines.len() {
-            let m = &self.machines[n];
-            if m.places.is_empty() && m.tombs.is_empty() {
-                continue;
-            }
-            // Guard: counted from the last 200 that any leader could have sent
-            // (a new leader counts from its own start), both clocks' drift added.
-            let end = m.renewed + self.cfg.lease_ms + self.cfg.lease_ms / 500 + 500;
-            if now < end {
+            let ix = MachineIx(n as u32);
+            if self.machines[n].life == Life::Gone {
                 continue;
             }
-            let ix = MachineIx(n as u32);
-            tracing::warn!(machine = &*m.id, tasks = m.places.len(), "lease ran out");
-            let top = m.places.iter().filter_map(|&p| self.place(p)).map(|p| p.session).max().unwrap_or(0);
-            let m = &mut self.machines[n];
-            m.dead_session = m.dead_session.max(m.session).max(top);
-            self.free_machine(ix, None);
+            self.expire(now, ix);
+            self.probe(now, ix);
+            self.note_idle(now, ix);
+            self.refresh(now, ix);
+        }
+    }
+
+    fn note_idle(&mut self, now: Ms, ix: MachineIx) {
+        let m = &mut self.machines[ix.at()];
+        if m.life != Life::Up {
+            return;
+        }
+        if m.gpu_places == 0 {
+            m.gpu_idle_since.get_or_insert(now);
+        }
+        if m.places.is_empty() {
+            m.idle_since.get_or_insert(now);
+        }
+    }
+
+    /// Shows the picture what a machine is and whether it takes new tasks.
+    pub fn refresh(&mut self, now: Ms, ix: MachineIx) {
+        let m = &self.machines[ix.at()];
+        let is_there = matches!(m.life, Life::Up | Life::Returning) && m.session != 0;
+        let t = if is_there { self.type_of(m) } else { None };
+        let open = m.life == Life::Up
+            && m.heard.is_some_and(|h| now < h + 2 * self.cfg.report_ms + 500)
+            && m.notice_until.is_none()
+            && !m.retire
+            && now >= m.avoid_until;
+        let gpu_only = t.is_some_and(|t| self.runs_empty(now, m, t));
+        let (zone, spot) = (m.zone, m.spot);
+        let pool = match t.map(|t| self.picture.find_pool(t.ix, zone, spot).ok_or_else(|| t.clone())) {
+            Some(Err(t)) => Some(self.picture.pool_of(&t, zone, spot)),
+            Some(Ok(p)) => Some(p),
+            None => None,
+        };
+        let was = self.picture.hosts.get(ix.at()).is_some_and(|h| h.open);
+        self.dirty |= open && !was;
+        self.picture.move_to(ix.at(), pool);
+        self.picture.set_open(ix.at(), open && pool.is_some(), gpu_only);
+    }
+
+    /// Frees what the end of a lease proves gone.
+    fn expire(&mut self, now: Ms, ix: MachineIx) {
+        let m = &self.machines[ix.at()];
+        if m.places.is_empty() && m.tombs.is_empty() {
+            return;
+        }
+        // Guard: counted from the last 200 that any leader could have sent
+        // (a new leader counts from its own start), both clocks' drift added.
+        let end = m.renewed + self.cfg.lease_ms + self.cfg.lease_ms / 500 + 500;
+        if now < end {
+            return;
         }
+        tracing::warn!(machine = &*m.id, tasks = m.places.len(), "lease ran out");
+        let top = m.places.iter().filter_map(|&p| self.place(p)).map(|p| p.session).max().unwrap_or(0);
+        let m = &mut self.machines[ix.at()];
+        m.dead_session = m.dead_session.max(m.session).max(top);
+        self.free_machine(ix, None);
     }
 }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -14,14 +14,14 @@
 mod reports;
 
 use std::{
-    collections::{HashMap, HashSet, VecDeque},
+    collections::{BTreeSet, HashMap, HashSet, VecDeque},
     net::SocketAddr,
     rc::Rc,
 };
 
 use ciborium::Value;
 
-use super::{fleet::Fleet, model::*};
+use super::{fleet::Fleet, model::*, picture::Picture};
 use crate::{
     bookkeeping::{
         mirror::{JobIx, Mirror},
@@ -154,6 +154,14 @@
     counts: HashSet<JobIx>,
     pub heard_any: Ms,
     /// Shapes of GPU work seen lately, when, and when such a job last came.
+    pub picture: Picture,
+    /// In use by team, places that may still be taken included.
+    pub team_used: Vec<Res>,
+    /// Where the next sample of machines begins.
+    pub cursor: u32,
+    /// Machines that something may have to be told, and when to look.
+    wake: BTreeSet<(Ms, MachineIx)>,
+    next_sweep: Ms,
     pub gpu_shapes: Vec<(Rc<JobSpec>, Ms, i64)>,
     /// Observed run time against the owner's estimate, by class, smoothed.
     pub class_bias: HashMap<ClassIx, (f64, f64)>,
@@ -169,6 +177,11 @@
     pub fn new(cfg: Config, stamp: u64, nonce: u64, now: Ms, types: Vec<TypeInfo>) -> Leader {
         Leader {
             fleet: Fleet::new(nonce, now),
+            picture: Picture::default(),
+            team_used: vec![Res::default(); cfg.teams.len()],
+            cursor: 0,
+            wake: BTreeSet::new(),
+            next_sweep: now,
             cfg,
             stamp,
             started: now,
@@ -291,6 +304,8 @@
             error_on: Vec::new(),
             shown: (0, 0),
             evict_at: 0,
+            zone_used: Vec::new(),
+            within: false,
             stops: 0,
             losses: 0,
             last_placed: now,
@@ -313,7 +328,7 @@
         for p in places {
             self.halt(now, p, grace_s);
         }
-        self.retire_cancelled(ix);
+        self.retire_over(ix);
     }
 
     /// Wants a task stopped. A place whose launch was never sent is given up at once.
@@ -324,20 +339,27 @@
             self.free_place(ix, false);
             return;
         }
+        let (job, machine) = (p.job, p.machine);
         match &mut p.halt {
             Some(h) if grace_s < h.grace_s => {
                 h.grace_s = grace_s;
                 h.sent = None;
             }
-            Some(_) => {}
-            None => p.halt = Some(Halt { grace_s, since: now, sent: None }),
+            Some(_) => return,
+            None => {
+                p.halt = Some(Halt { grace_s, since: now, sent: None });
+                if let Some(job) = self.jobs.get(job.at()).and_then(Option::as_ref) {
+                    self.picture.stop(machine.at(), &job.spec);
+                }
+            }
         }
+        self.wake.insert((now, machine));
     }
 
-    /// A cancelled job without places leaves the picture; its records go.
-    pub(super) fn retire_cancelled(&mut self, ix: JobIx) {
+    /// A job that is over and has no places leaves the picture; its records go.
+    pub(super) fn retire_over(&mut self, ix: JobIx) {
         let Some(job) = self.job(ix) else { return };
-        if job.status == Status::Cancelled && job.placed == 0 && !job.is_flying_in(&self.flying) {
+        if job.status != Status::Pending && job.placed == 0 && !job.is_flying_in(&self.flying) {
             self.forget(ix);
         }
     }
@@ -346,13 +368,7 @@
         if let Some(job) = self.job_mut(ix) {
             job.status = Status::Done;
         }
-        let left: Vec<PlaceIx> = match self.job(ix) {
-            Some(job) => job.slots.iter().filter_map(|s| if let Slot::At(p) = s { Some(*p) } else { None }).collect(),
-            None => return,
-        };
-        if left.is_empty() {
-            self.forget(ix);
-        }
+        self.retire_over(ix);
     }
 
     pub(super) fn forget(&mut self, ix: JobIx) {
--- a/src/coordination/leader/places.rs
+++ b/src/coordination/leader/places.rs
@@ -23,6 +23,16 @@
         job.chunks[chunk].urgent = ver;
         job.placed += 1;
         job.started = true;
+        if job.spec.one_zone || job.spec.spread {
+            if job.zone_used.len() <= zone.at() {
+                job.zone_used.resize(zone.at() + 1, 0);
+            }
+            job.zone_used[zone.at()] += 1;
+        }
+        if let Some(u) = self.team_used.get_mut(job.spec.team.at()) {
+            *u += Res::of(&job.spec);
+        }
+        self.picture.take(machine.at(), &job.spec);
         job.last_placed = now;
         if job.pending.last() == Some(&task) {
             job.pending.pop();
@@ -55,9 +65,14 @@
             }
         };
         job.slots[task as usize] = Slot::At(ix);
+        let gpus = job.spec.gpus > 0.0;
         let m = &mut self.machines[machine.at()];
         m.places.push(ix);
         m.idle_since = None;
+        if gpus {
+            m.gpu_places += 1;
+            m.gpu_idle_since = None;
+        }
         Some(ix)
     }
 
@@ -70,6 +85,16 @@
         if let Some(job) = self.jobs.get_mut(place.job.at()).and_then(Option::as_mut) {
             job.touch(place.task);
             job.placed -= 1;
+            if let Some(n) = job.zone_used.get_mut(place.zone.at()) {
+                *n -= 1;
+            }
+            if let Some(u) = self.team_used.get_mut(job.spec.team.at()) {
+                *u -= Res::of(&job.spec);
+            }
+            self.picture.give(place.machine.at(), &job.spec, place.halt.is_some());
+            if job.spec.gpus > 0.0 {
+                self.machines[place.machine.at()].gpu_places -= 1;
+            }
             if matches!(place.state, PlaceState::Seen(TaskState::Running)) {
                 job.running = job.running.saturating_sub(1);
             }
@@ -93,7 +118,7 @@
                     self.halt(place.made, p, 0.0);
                 }
             }
-            self.retire_cancelled(place.job);
+            self.retire_over(place.job);
         }
         Some(place)
     }
@@ -129,11 +154,8 @@
         if p.halt.is_some() || job.status != Status::Pending || !self.written(p) {
             return false;
         }
-        if job.spec.kind == Kind::Gang && job.placed > 1 {
-            return job.slots.iter().all(|s| match s {
-                Slot::At(q) => self.place(*q).is_some_and(|q| self.written(q)),
-                _ => true,
-            });
+        if job.spec.kind == Kind::Gang && job.is_urgent() {
+            return false;
         }
         true
     }
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -93,6 +93,7 @@
             self.dirty = true;
         }
         let mut listed: Vec<PlaceIx> = Vec::with_capacity(r.tasks.len());
+        // Ends that the worker lists: their tombs stay.
         let mut tombs_listed: HashSet<(String, u64)> = HashSet::new();
         for t in &r.tasks {
             self.take_task(now, ix, t, mirror, &mut listed, &mut tombs_listed);
@@ -103,6 +104,7 @@
         if self.machines[ix.at()].notice_until.is_some() {
             self.drain(now, ix);
         }
+        self.refresh(now, ix);
     }
 
     /// Tasks that have a place here but aren't listed.
@@ -256,8 +258,10 @@
             }
             let (image, gb) = (job.spec.image, job.spec.image_gb);
             self.counts.insert(job_ix);
-            let cache = self.type_of(&self.machines[machine.at()]).map_or(0.0, |t| t.cache_gb);
-            self.machines[machine.at()].note_image(image, gb, cache);
+            if let Some(host) = self.picture.hosts.get_mut(machine.at()) {
+                let cache_gb = host.pool.map_or(0.0, |p| self.picture.pools[p].cache_gb);
+                host.note_image(image, gb, cache_gb);
+            }
         }
     }
 
@@ -295,6 +299,7 @@
             Why::NoRoom | Why::Busy => {
                 tracing::info!(task = &*t.task, machine = &*name, ?why, "start refused");
                 self.machines[machine.at()].avoid_until = now + 3_000;
+                self.refresh(now, machine);
             }
             Why::Unknown => {
                 if let Some(j) = self.job_mut(job_ix) {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -5,5 +5,6 @@
 pub mod leader;
 pub mod model;
 pub mod pass;
+pub mod picture;
 pub mod preemption;
 pub mod trial;
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -6,7 +6,7 @@
     bookkeeping::{mirror::JobIx, records::Status},
     protocol::{
         jobs::JobSpec,
-        names::{ImageIx, TypeIx, ZoneIx},
+        names::{TypeIx, ZoneIx},
         workers::{TaskState, Why},
     },
 };
@@ -60,10 +60,18 @@
         one(self.cpus, room.cpus).min(one(self.gpus, room.gpus)).min(one(self.memory_gb, room.memory_gb)) as u32
     }
 
+    pub fn any(&self) -> bool {
+        self.cpus.abs() > EPS || self.gpus.abs() > EPS || self.memory_gb.abs() > EPS
+    }
+
     pub fn max0(self) -> Res {
         Res { cpus: self.cpus.max(0.0), gpus: self.gpus.max(0.0), memory_gb: self.memory_gb.max(0.0) }
     }
 
+    pub fn max(self, o: Res) -> Res {
+        Res { cpus: self.cpus.max(o.cpus), gpus: self.gpus.max(o.gpus), memory_gb: self.memory_gb.max(o.memory_gb) }
+    }
+
     pub fn min(self, o: Res) -> Res {
         Res { cpus: self.cpus.min(o.cpus), gpus: self.gpus.min(o.gpus), memory_gb: self.memory_gb.min(o.memory_gb) }
     }
@@ -83,6 +91,13 @@
     }
 }
 
+impl ops::Mul<f64> for Res {
+    type Output = Res;
+    fn mul(self, x: f64) -> Res {
+        Res { cpus: self.cpus * x, gpus: self.gpus * x, memory_gb: self.memory_gb * x }
+    }
+}
+
 impl ops::AddAssign for Res {
     fn add_assign(&mut self, o: Res) {
         *self = *self + o;
@@ -141,6 +156,10 @@
     pub error_on: Vec<MachineIx>,
     pub shown: (u32, u32),
     pub evict_at: Ms,
+    /// Its places by zone, if it restricts zones.
+    pub zone_used: Vec<u32>,
+    /// Within its team's guarantee, as of the last pass.
+    pub within: bool,
     /// For the logs: tasks stopped by command, tasks lost with their machine,
     /// and when a task was last given a place.
     pub stops: u32,
@@ -271,13 +290,13 @@
     pub probe_fails: u32,
     pub notice_until: Option<Ms>,
     pub places: Vec<PlaceIx>,
+    /// Of those, places of GPU work.
+    pub gpu_places: u32,
     pub tombs: Vec<Tomb>,
     pub call: Option<DoCall>,
     pub call_after: Ms,
     /// The answer to its last report carried launches, and no report came since.
     pub answer_open: bool,
-    /// Images it holds or fetches, most recent last.
-    pub images: Vec<(ImageIx, f64)>,
     pub rented: Ms,
     pub up_at: Option<Ms>,
     pub idle_since: Option<Ms>,
@@ -290,8 +309,6 @@
     pub retire: bool,
     pub return_after: Ms,
     pub listed: bool,
-    /// Observed run time against what was expected, smoothed; 1 is usual.
-    pub slowness: f64,
 }
 
 impl Machine {
@@ -315,11 +332,11 @@
             probe_fails: 0,
             notice_until: None,
             places: Vec::new(),
+            gpu_places: 0,
             tombs: Vec::new(),
             call: None,
             call_after: 0,
             answer_open: false,
-            images: Vec::new(),
             rented: now,
             up_at: None,
             idle_since: None,
@@ -329,7 +346,6 @@
             retire: false,
             return_after: 0,
             listed: false,
-            slowness: 1.0,
         }
     }
 
@@ -337,20 +353,6 @@
     pub fn fenced(&self) -> bool {
         self.seen_token >= self.fence
     }
-
-    pub fn has_image(&self, image: ImageIx) -> bool {
-        self.images.iter().any(|(i, _)| *i == image)
-    }
-
-    /// Notes that an image was fetched or used, and forgets what fell out of the cache.
-    pub fn note_image(&mut self, image: ImageIx, gb: f64, cache_gb: f64) {
-        self.images.retain(|(i, _)| *i != image);
-        self.images.push((image, gb));
-        let mut sum: f64 = self.images.iter().map(|(_, g)| g).sum();
-        while sum > cache_gb && self.images.len() > 1 {
-            sum -= self.images.remove(0).1;
-        }
-    }
 }
 
 /// A machine type as the cloud describes it.
@@ -417,7 +419,7 @@
     use super::*;
     use crate::protocol::{
         jobs::{Kind, Priority},
-        names::{ClassIx, TeamIx},
+        names::{ClassIx, ImageIx, TeamIx},
     };
 
     pub fn spec(kind: Kind, priority: Priority, tasks: u32, cpus: f64) -> JobSpec {
@@ -469,13 +471,4 @@
             assert_eq!(limits.ever_allows(&s), ever, "case {i}");
         }
     }
-
-    #[test]
-    fn images_fall_out_oldest_first() {
-        let mut m = Machine::new("i-1", ZoneIx(0), 0, 0);
-        for (i, gb) in [(1, 4.0), (2, 4.0), (1, 4.0), (3, 4.0)] {
-            m.note_image(ImageIx(i), gb, 10.0);
-        }
-        assert!(m.has_image(ImageIx(1)) && m.has_image(ImageIx(3)) && !m.has_image(ImageIx(2)));
-    }
 }
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -1,12 +1,12 @@
 //! A pass: every waiting job's tree is tried on the picture, in order of
 //! priority; what succeeds becomes part of the wanted state.
 
-use std::{collections::HashMap, rc::Rc};
+use std::rc::Rc;
 
 use super::{
     leader::Leader,
     model::*,
-    trial::{Ask, Host, Picture, Verdict},
+    trial::{Ask, Verdict},
 };
 use crate::{
     bookkeeping::{mirror::JobIx, records::Status},
@@ -31,16 +31,6 @@
 /// GPU work is expected again for this long after it was last there.
 const GPU_SHAPE_MS: Ms = 900_000;
 
-/// What a pass knows beside the picture.
-pub struct Ledger {
-    /// In use by team.
-    pub used: Vec<Res>,
-    /// Tasks somewhere by zone, of jobs that restrict zones.
-    pub zones: HashMap<JobIx, Vec<u32>>,
-    /// Jobs within their team's guarantee, by job index.
-    pub guaranteed: Vec<JobIx>,
-}
-
 impl Leader {
     pub fn team_limits(&self, team: TeamIx) -> TeamLimits {
         self.cfg.teams.get(team.at()).copied().unwrap_or_default()
@@ -62,111 +52,49 @@
         self.gpu_shapes = shapes;
     }
 
-    fn guard_of(&self, t: &TypeInfo, spot: bool) -> Option<Res> {
-        let mut guard: Option<Res> = None;
-        for (s, _, _) in &self.gpu_shapes {
-            if t.cap.gpus > 0.0 && s.allows_type(t.ix) && (s.spot || !spot) && Res::of(s).fits_in(&t.cap) {
-                let g = guard.get_or_insert(Res::of(s));
-                let s = Res::of(s);
-                *g =
-                    Res { cpus: g.cpus.max(s.cpus), gpus: g.gpus.max(s.gpus), memory_gb: g.memory_gb.max(s.memory_gb) };
-            }
-        }
-        guard
-    }
-
-    pub fn picture(&self, now: Ms) -> Picture {
-        let mut hosts = Vec::with_capacity(self.machines.len());
-        for (n, m) in self.machines.iter().enumerate() {
-            if matches!(m.life, Life::Gone | Life::Booting) || m.session == 0 {
-                continue;
-            }
-            let Some(t) = self.type_of(m) else { continue };
-            let mut host = Host {
-                ix: MachineIx(n as u32),
-                ty: t.ix,
-                zone: m.zone,
-                spot: m.spot,
-                cap: t.cap,
-                free: t.cap,
-                soon: Res::default(),
-                images: m.images.iter().map(|(i, _)| *i).collect::<Vec<_>>().into(),
-                fetch_gb_per_s: t.fetch_gb_per_s,
-                price: t.price_of(m.spot),
-                services: 0,
-                slowness: m.slowness,
-                open: m.life == Life::Up
-                    && m.heard.is_some_and(|h| now < h + 2 * self.cfg.report_ms + 500)
-                    && m.notice_until.is_none()
-                    && !m.retire
-                    && now >= m.avoid_until,
-                guard: self.guard_of(t, m.spot),
-                gpu_only: self.runs_empty(now, m, t),
-                fixed: Res::default(),
-            };
-            for &p in &m.places {
-                let Some(p) = self.place(p) else { continue };
-                let Some(job) = self.job(p.job) else { continue };
-                let need = Res::of(&job.spec);
-                host.free -= need;
-                if p.halt.is_some() {
-                    host.soon += need;
-                }
-                if job.spec.kind == Kind::Service {
-                    host.services += 1;
-                }
-                if Picture::is_fixed(&job.spec) && job.spec.gpus <= 0.0 {
-                    host.fixed += need;
+    /// What GPU work lately asked for, of each pool's machines.
+    fn note_guards(&mut self) {
+        for p in &mut self.picture.pools {
+            p.guard = None;
+            for (s, _, _) in self.gpu_shapes.iter().filter(|_| p.cap.gpus > 0.0) {
+                if s.allows_type(p.ty) && (s.spot || !p.spot) && Res::of(s).fits_in(&p.cap) {
+                    let (g, s) = (p.guard.get_or_insert(Res::of(s)), Res::of(s));
+                    *g = g.max(s);
                 }
             }
-            hosts.push(host);
         }
-        Picture { hosts }
     }
 
-    pub fn ledger(&self) -> Ledger {
-        let mut used = vec![Res::default(); self.cfg.teams.len()];
-        let mut zones: HashMap<JobIx, Vec<u32>> = HashMap::new();
-        for p in self.places.iter().flatten() {
-            let Some(job) = self.job(p.job) else { continue };
-            if let Some(u) = used.get_mut(job.spec.team.at()) {
-                *u += Res::of(&job.spec);
-            }
-            if job.spec.one_zone || job.spec.spread {
-                let z = zones.entry(p.job).or_default();
-                if z.len() <= p.zone.at() {
-                    z.resize(p.zone.at() + 1, 0);
-                }
-                z[p.zone.at()] += 1;
-            }
-        }
-        // A job is within the guarantee when it fits into it together with its
-        // team's earlier unfinished jobs. Where no amount is set for CPUs, only
-        // work that asks for GPUs can be within it.
-        let mut jobs: Vec<&Job> =
-            self.active.iter().filter_map(|&j| self.job(j)).filter(|j| j.status == Status::Pending).collect();
-        jobs.sort_by_key(|j| j.since);
+    /// Marks the jobs that are within their team's guarantee: those that fit
+    /// into it together with their team's earlier unfinished jobs. Where no
+    /// amount is set for CPUs, only work that asks for GPUs can be within it.
+    fn note_guarantees(&mut self) {
+        let mut jobs: Vec<(i64, JobIx)> = self
+            .active
+            .iter()
+            .filter_map(|&j| self.job(j))
+            .filter(|j| j.status == Status::Pending)
+            .map(|j| (j.since, j.ix))
+            .collect();
+        jobs.sort_unstable();
         let mut sums: Vec<Res> = vec![Res::default(); self.cfg.teams.len()];
-        let mut guaranteed = Vec::new();
-        for j in jobs {
+        for (_, ix) in jobs {
+            let Some(j) = self.jobs[ix.at()].as_mut() else { continue };
             let Some(sum) = sums.get_mut(j.spec.team.at()) else { continue };
-            let limits = self.team_limits(j.spec.team);
+            let limits = self.cfg.teams.get(j.spec.team.at()).copied().unwrap_or_default();
             let n = f64::from(j.spec.tasks - j.done.min(j.spec.tasks));
-            sum.cpus += n * j.spec.cpus;
-            sum.gpus += n * j.spec.gpus;
+            *sum += Res::of(&j.spec) * n;
             let within = |have: Option<f64>, sum: f64, need: f64| match have {
                 Some(g) => sum <= g + EPS,
                 None => need <= EPS,
             };
             let cpus_fit = limits.cpus.is_none_or(|g| sum.cpus <= g + EPS);
-            if cpus_fit && within(limits.gpus, sum.gpus, j.spec.gpus) && (j.spec.gpus > 0.0 || limits.cpus.is_some()) {
-                guaranteed.push(j.ix);
-            }
+            j.within =
+                cpus_fit && within(limits.gpus, sum.gpus, j.spec.gpus) && (j.spec.gpus > 0.0 || limits.cpus.is_some());
         }
-        Ledger { used, zones, guaranteed }
     }
 
-    fn pass_order(&self, now: Ms, ledger: &Ledger) -> Vec<JobIx> {
+    fn pass_order(&self, now: Ms) -> Vec<JobIx> {
         let mut order: Vec<(Priority, bool, (u32, f64), JobIx)> = self
             .active
             .iter()
@@ -174,7 +102,7 @@
             .filter(|j| j.status == Status::Pending && !j.pending.is_empty() && now >= j.not_before && !j.stale)
             // A gang starts anew only once all of its old attempt is gone.
             .filter(|j| j.spec.kind != Kind::Gang || j.placed == 0)
-            .map(|j| (j.spec.priority, ledger.guaranteed.contains(&j.ix), self.turn(now, j), j.ix))
+            .map(|j| (j.spec.priority, j.within, self.turn(now, j), j.ix))
             .collect();
         order.sort_by(|a, b| {
             let turn = a.2 .0.cmp(&b.2 .0).then(a.2 .1.total_cmp(&b.2 .1));
@@ -215,18 +143,19 @@
     pub fn pass(&mut self, now: Ms) {
         self.dirty = false;
         self.last_pass = now;
-        let mut ledger = self.ledger();
-        let order = self.pass_order(now, &ledger);
+        self.note_guarantees();
+        let order = self.pass_order(now);
         let mut unmet: Vec<(JobIx, u32)> = Vec::new();
         if order.is_empty() {
             self.fleet.unmet = unmet;
             return;
         }
         self.note_gpu_shapes(now);
-        let mut picture = self.picture(now);
+        self.note_guards();
         let mut headroom = Some(self.headroom(now));
-        // Shapes that found no room at all: room only shrinks within a pass.
-        let mut failed: Vec<Rc<JobSpec>> = Vec::new();
+        // Shapes that found no room at all, now or once what is being stopped
+        // is gone: room only shrinks within a pass.
+        let mut failed = Failed::default();
         for ix in order {
             let Some(job) = self.job(ix) else { continue };
             let spec = job.spec.clone();
@@ -234,12 +163,12 @@
                 // Services come first in the order; what follows leaves room
                 // for the replicas that are expected next.
                 for (spec, n) in headroom.take().into_iter().flatten() {
-                    self.keep_headroom(&spec, n, &mut picture);
+                    self.keep_headroom(&spec, n);
                 }
             }
-            let room = self
-                .team_limits(spec.team)
-                .room_for(&spec, &ledger.used.get(spec.team.at()).copied().unwrap_or_default());
+            let Some(job) = self.job(ix) else { continue };
+            let used = self.team_used.get(spec.team.at()).copied().unwrap_or_default();
+            let room = self.team_limits(spec.team).room_for(&spec, &used);
             let n = job.pending.len().min(room as usize).min(TASKS_A_PASS.max(gang_size(job)));
             let gang = spec.kind == Kind::Gang;
             if n == 0 || (gang && n < job.pending.len()) {
@@ -247,34 +176,41 @@
             }
             let tasks: Vec<u32> = job.pending.iter().rev().take(n).copied().collect();
             let min = if gang { n } else { 1 };
-            let zone_used = ledger.zones.get(&ix).cloned().unwrap_or_default();
+            let zone_used = job.zone_used.clone();
+            let fresh = zone_used.iter().all(|&n| n == 0);
             let avoid = self.avoided(job);
-            let ask = Ask { spec: &spec, tasks: &tasks, min, zone_used: &zone_used, avoid: &avoid };
-            let hopeless = failed.iter().any(|f| at_least_as_hard(&spec, f));
-            let out = if hopeless { None } else { Some(picture.trial(&ask)).filter(|o| o.verdict == Verdict::Success) };
+            let ask = Ask {
+                spec: &spec,
+                tasks: &tasks,
+                min,
+                zone_used: &zone_used,
+                avoid: &avoid,
+                later: false,
+                busy_only: false,
+            };
+            let hopeless = failed.now.iter().any(|f| at_least_as_hard(&spec, f));
+            let out =
+                if hopeless { None } else { Some(self.picture.trial(&ask)).filter(|o| o.verdict == Verdict::Success) };
             let placed = out.as_ref().map_or(0, |o| o.picks.len());
             if let Some(out) = out {
                 let attempt = self.next_attempt();
                 for pick in &out.picks {
-                    let h = &picture.hosts[pick.host];
-                    let session = self.machine(h.ix).session;
-                    self.add_place(now, ix, pick.task, h.ix, session, attempt, h.zone);
-                    if let Some(u) = ledger.used.get_mut(spec.team.at()) {
-                        *u += Res::of(&spec);
-                    }
+                    let m = MachineIx(pick.host as u32);
+                    let (session, zone) = (self.machine(m).session, self.machine(m).zone);
+                    self.add_place(now, ix, pick.task, m, session, attempt, zone);
                 }
                 tracing::debug!(job = ix.0, placed, of = n, "placed");
-            } else if !hopeless && avoid.is_empty() && zone_used.is_empty() {
-                failed.push(spec.clone());
+            } else if !hopeless && avoid.is_empty() && fresh {
+                failed.now.push(spec.clone());
             }
             if placed < n {
-                let rest: Vec<u32> = tasks[placed..].to_vec();
-                unmet.push((ix, rest.len() as u32));
-                self.make_room(now, ix, &rest, &mut picture, &ledger);
+                unmet.push((ix, (n - placed) as u32));
+                self.make_room(now, ix, &tasks[placed..], &mut failed);
             } else if let Some(j) = self.job_mut(ix) {
                 j.waiting_since = now;
             }
         }
+        self.picture.release(0);
         self.fleet.unmet = unmet;
     }
 
@@ -298,22 +234,20 @@
             .collect()
     }
 
-    fn keep_headroom(&self, spec: &JobSpec, n: usize, picture: &mut Picture) {
+    fn keep_headroom(&mut self, spec: &JobSpec, n: usize) {
         let tasks: Vec<u32> = (0..n as u32).collect();
-        let ask = Ask { spec, tasks: &tasks, min: 1, zone_used: &[], avoid: &[] };
-        let out = picture.later().trial(&ask);
-        if out.verdict == Verdict::Success {
-            picture.reserve(spec, &out.picks);
+        let ask = Ask { spec, tasks: &tasks, min: 1, zone_used: &[], avoid: &[], later: true, busy_only: false };
+        let out = self.picture.trial(&ask);
+        for p in &out.picks {
+            self.picture.reserve(p.host, Res::of(spec), Res::default());
         }
     }
 
-    /// The picture less the room kept for the next replicas.
-    pub fn picture_with_headroom(&self, now: Ms) -> Picture {
-        let mut picture = self.picture(now);
+    /// Takes the room kept for the next replicas off the picture, until it is released.
+    pub fn keep_all_headroom(&mut self, now: Ms) {
         for (spec, n) in self.headroom(now) {
-            self.keep_headroom(&spec, n, &mut picture);
+            self.keep_headroom(&spec, n);
         }
-        picture
     }
 
     fn avoided(&self, job: &Job) -> Vec<MachineIx> {
@@ -326,12 +260,11 @@
     }
 
     /// No room now: wait for what is being stopped, or stop other work.
-    fn make_room(&mut self, now: Ms, ix: JobIx, tasks: &[u32], picture: &mut Picture, ledger: &Ledger) {
+    fn make_room(&mut self, now: Ms, ix: JobIx, tasks: &[u32], failed: &mut Failed) {
         let Some(job) = self.job(ix) else { return };
         let spec = job.spec.clone();
         let gang = spec.kind == Kind::Gang;
-        let zone_used = ledger.zones.get(&ix).cloned().unwrap_or_default();
-        let within = ledger.guaranteed.contains(&ix);
+        let within = job.within;
         let patient = spec.priority <= Priority::Normal && !within;
         if spec.priority == Priority::Low && !within {
             return;
@@ -339,26 +272,39 @@
         if patient && (now as i64 - job.waiting_since as i64) < PATIENCE_MS {
             return;
         }
+        let evict_at = job.evict_at;
         let min = if gang { tasks.len() } else { 1 };
-        let ask = Ask { spec: &spec, tasks, min, zone_used: &zone_used, avoid: &[] };
+        let zone_used = job.zone_used.clone();
+        let fresh = zone_used.iter().all(|&n| n == 0);
         let mut need = tasks;
-        if picture.hosts.iter().any(|h| h.soon.cpus > 0.0 || h.soon.gpus > 0.0) {
-            let out = picture.later().trial(&ask);
-            if out.verdict == Verdict::Success {
-                picture.reserve(&spec, &out.picks);
-                need = &tasks[out.picks.len()..];
+        if self.picture.anything_stops() && !failed.later.iter().any(|f| at_least_as_hard(&spec, f)) {
+            let ask = Ask { spec: &spec, tasks, min, zone_used: &zone_used, avoid: &[], later: true, busy_only: false };
+            let out = self.picture.trial(&ask);
+            for p in &out.picks {
+                self.picture.reserve(p.host, Res::of(&spec), Res::default());
+            }
+            need = &tasks[out.picks.len()..];
+            if out.verdict != Verdict::Success && fresh {
+                failed.later.push(spec.clone());
             }
         }
-        if need.is_empty() || now < job.evict_at {
+        if need.is_empty() || now < evict_at {
             return;
         }
-        let made = self.evict(now, ix, need, picture, ledger);
+        let made = self.evict(now, ix, need);
         if let Some(j) = self.job_mut(ix) {
             j.evict_at = now + if made { 1_000 } else { 2_000 };
         }
     }
 }
 
+/// Shapes that a pass found no room for.
+#[derive(Default)]
+struct Failed {
+    now: Vec<Rc<JobSpec>>,
+    later: Vec<Rc<JobSpec>>,
+}
+
 fn gang_size(job: &Job) -> usize {
     if job.spec.kind == Kind::Gang {
         job.pending.len()
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -1,12 +1,7 @@
 //! Eviction, decided at the root: which tasks are stopped so that a job of
 //! higher priority, or one within its team's guarantee, gets room.
 
-use super::{
-    leader::Leader,
-    model::*,
-    pass::Ledger,
-    trial::{Pick, Picture},
-};
+use super::{leader::Leader, model::*};
 use crate::{
     bookkeeping::{mirror::JobIx, records::Status},
     protocol::jobs::{Kind, Priority},
@@ -14,8 +9,9 @@
 
 /// Tasks of one array for which room is made in one pass.
 const ARRAY_TASKS: usize = 4;
-/// Machines looked at, when there are more than can be searched in full.
+/// Machines of each pool looked at for one task, and those of them whose tasks are.
 const SAMPLE: usize = 256;
+const SAMPLE_TASKS: usize = 64;
 
 /// What runs this long has started for good (PROTOCOL, "How aims are counted").
 const START_COUNTS_S: f64 = 30.0;
@@ -30,7 +26,7 @@
 
 impl Leader {
     /// What stopping a place costs, or None when the preemptor may not stop it.
-    fn victim(&self, now: Ms, p: PlaceIx, by: &Job, within: bool, ledger: &Ledger) -> Option<Victim> {
+    fn victim(&self, now: Ms, p: PlaceIx, by: &Job) -> Option<Victim> {
         let place = self.place(p)?;
         if place.halt.is_some() || matches!(place.state, PlaceState::Ended(_)) {
             return None;
@@ -42,9 +38,9 @@
         let lower = job.spec.priority < by.spec.priority;
         // Borrowed room is asked back only once some may have come back by itself.
         let waited = now as i64 - by.waiting_since as i64;
-        let borrowed = within && waited >= BORROW_PATIENCE_MS && job.spec.team != by.spec.team && {
+        let borrowed = by.within && waited >= BORROW_PATIENCE_MS && job.spec.team != by.spec.team && {
             let limits = self.team_limits(job.spec.team);
-            let used = ledger.used.get(job.spec.team.at()).copied().unwrap_or_default();
+            let used = self.team_used.get(job.spec.team.at()).copied().unwrap_or_default();
             let over = |have: Option<f64>, used: f64| used > have.unwrap_or(0.0) + EPS;
             (by.spec.gpus > 0.0 && job.spec.gpus > 0.0 && over(limits.gpus, used.gpus))
                 || (by.spec.cpus > 0.0 && limits.cpus.is_some() && over(limits.cpus, used.cpus))
@@ -69,36 +65,45 @@
     }
 
     /// Stops other work so that `tasks` get room. True if something was stopped.
-    pub fn evict(&mut self, now: Ms, ix: JobIx, tasks: &[u32], picture: &mut Picture, ledger: &Ledger) -> bool {
+    pub fn evict(&mut self, now: Ms, ix: JobIx, tasks: &[u32]) -> bool {
         let Some(job) = self.job(ix) else { return false };
         let spec = job.spec.clone();
-        let within = ledger.guaranteed.contains(&ix);
         let need = Res::of(&spec);
         let gang = spec.kind == Kind::Gang;
         let tasks = if spec.kind == Kind::Array { &tasks[..tasks.len().min(ARRAY_TASKS)] } else { tasks };
-        let zone_used = ledger.zones.get(&ix).cloned().unwrap_or_default();
-        let mut in_zone = zone_used.clone();
+        let mut in_zone = job.zone_used.clone();
         let mut halts: Vec<PlaceIx> = Vec::new();
-        let mut picks: Vec<Pick> = Vec::new();
-        let mut trial = picture.clone();
-        for &task in tasks {
+        let mut picks: Vec<usize> = Vec::new();
+        let kept = self.picture.reservations();
+        self.cursor = self.cursor.wrapping_mul(5).wrapping_add(101) % (self.machines.len().max(1) as u32);
+        let sample = self.picture.sample(&spec, None, self.cursor, SAMPLE);
+        let mut looked = 0;
+        for _ in tasks {
+            let Some(job) = self.job(ix) else { return false };
             let mut best: Option<(f64, usize, Vec<PlaceIx>, Res)> = None;
-            for (n, h) in trial.hosts.iter().enumerate().take(SAMPLE) {
-                if !Picture::host_allows(h, &spec) {
-                    continue;
-                }
-                let here = in_zone.get(h.zone.at()).copied().unwrap_or(0);
+            let mut seen = 0;
+            for &n in &sample {
+                looked += 1;
+                let h = &self.picture.hosts[n];
+                let Some(pool) = h.pool.map(|p| &self.picture.pools[p]) else { continue };
+                let here = in_zone.get(pool.zone.at()).copied().unwrap_or(0);
                 let elsewhere: u32 = in_zone.iter().sum::<u32>() - here;
                 if (spec.one_zone && elsewhere > 0) || (spec.spread && here >= spec.zone_cap()) {
                     continue;
                 }
                 let mut have = h.free + h.soon;
+                let lower = if job.within { 4 } else { spec.priority as usize };
+                let most = h.low[..lower].iter().fold(have, |sum, r| sum + *r);
+                if !need.fits_in(&most) || seen >= SAMPLE_TASKS {
+                    continue;
+                }
+                seen += 1;
                 let mut victims: Vec<Victim> = self
-                    .machine(h.ix)
+                    .machine(MachineIx(n as u32))
                     .places
                     .iter()
                     .filter(|p| !halts.contains(p))
-                    .filter_map(|&p| self.victim(now, p, job, within, ledger))
+                    .filter_map(|&p| self.victim(now, p, job))
                     .collect();
                 victims.sort_by(|a, b| a.cost.total_cmp(&b.cost));
                 let (mut cost, mut list, mut freed) = (0.0, Vec::new(), Res::default());
@@ -121,10 +126,10 @@
                 if !need.fits_in(&have) {
                     continue;
                 }
-                if !h.images.contains(&spec.image) {
-                    cost += spec.image_gb / h.fetch_gb_per_s.max(0.01) * 2.0;
+                if !h.has_image(spec.image) {
+                    cost += spec.image_gb / pool.fetch_gb_per_s.max(0.01) * 2.0;
                 }
-                if need.gpus <= 0.0 && h.cap.gpus > 0.0 {
+                if need.gpus <= 0.0 && pool.cap.gpus > 0.0 {
                     cost += 90.0;
                 }
                 if best.as_ref().is_none_or(|b| cost < b.0) {
@@ -133,24 +138,27 @@
             }
             let Some((_, n, list, freed)) = best else {
                 if gang {
+                    self.picture.looked += looked;
+                    self.picture.release(kept);
                     return false;
                 }
                 break;
             };
-            let h = &mut trial.hosts[n];
-            h.soon += freed;
-            if in_zone.len() <= h.zone.at() {
-                in_zone.resize(h.zone.at() + 1, 0);
+            let zone = self.machine(MachineIx(n as u32)).zone;
+            if in_zone.len() <= zone.at() {
+                in_zone.resize(zone.at() + 1, 0);
             }
-            in_zone[h.zone.at()] += 1;
-            trial.reserve(&spec, &[Pick { task, host: n }]);
+            in_zone[zone.at()] += 1;
+            self.picture.reserve(n, need, freed);
             halts.extend(list);
-            picks.push(Pick { task, host: n });
+            picks.push(n);
         }
+        self.picture.looked += looked;
+        // What is stopped below counts as such by itself; the room is kept again after.
+        self.picture.release(kept);
         if picks.is_empty() {
             return false;
         }
-        *picture = trial;
         let urgent = spec.priority == Priority::Production;
         let mut stopped = 0;
         for p in halts {
@@ -169,6 +177,9 @@
                 self.halt(now, p, grace);
             }
         }
+        for &n in &picks {
+            self.picture.reserve(n, need, Res::default());
+        }
         if stopped > 0 {
             tracing::info!(job = ix.0, stopped, tasks = picks.len(), "made room");
         }
--- a/src/coordination/trial.rs
+++ b/src/coordination/trial.rs
@@ -5,12 +5,13 @@
 //! Plugin Changes" and "Recursive Scheduling Cycle Execution"). What a failed
 //! subtree assumed is taken back in reverse order.
 
-use std::rc::Rc;
-
-use super::model::{MachineIx, Res};
+use super::{
+    model::{MachineIx, Res},
+    picture::{Host, Picture, Pool},
+};
 use crate::protocol::{
-    jobs::{JobSpec, Kind, Priority},
-    names::{ImageIx, TypeIx, ZoneIx},
+    jobs::{JobSpec, Kind},
+    names::ZoneIx,
 };
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,39 +37,6 @@
     }
 }
 
-/// One machine as a trial sees it.
-#[derive(Debug, Clone)]
-pub struct Host {
-    pub ix: MachineIx,
-    pub ty: TypeIx,
-    pub zone: ZoneIx,
-    pub spot: bool,
-    pub cap: Res,
-    pub free: Res,
-    /// What tasks that are being stopped will leave.
-    pub soon: Res,
-    pub images: Rc<[ImageIx]>,
-    pub fetch_gb_per_s: f64,
-    pub price: f64,
-    /// Production tasks on it: a dead machine takes them all.
-    pub services: u32,
-    pub slowness: f64,
-    /// May take new tasks at all.
-    pub open: bool,
-    /// What GPU work lately asked for that this machine could run: tasks that
-    /// can't be stopped for it must leave that much.
-    pub guard: Option<Res>,
-    /// Takes GPU work only: it is to run empty.
-    pub gpu_only: bool,
-    /// Used by tasks that are not stopped for others.
-    pub fixed: Res,
-}
-
-#[derive(Debug, Clone, Default)]
-pub struct Picture {
-    pub hosts: Vec<Host>,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Pick {
     pub task: u32,
@@ -87,6 +55,10 @@
     pub zone_used: &'a [u32],
     /// Machines on which its tasks failed.
     pub avoid: &'a [MachineIx],
+    /// As if tasks that are being stopped were gone already.
+    pub later: bool,
+    /// Only on machines that hold something.
+    pub busy_only: bool,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -95,132 +67,71 @@
     pub picks: Vec<Pick>,
 }
 
-impl Picture {
-    pub fn host_allows(host: &Host, spec: &JobSpec) -> bool {
-        host.open
-            && spec.allows_type(host.ty)
-            && spec.zone.is_none_or(|z| z == host.zone)
-            && (spec.spot || !host.spot)
-            && Res::of(spec).fits_in(&host.cap)
-            && !(host.gpu_only && spec.gpus <= 0.0)
-            && !Picture::takes_guarded(host, spec)
+/// Seconds that a start here is worth against a start elsewhere.
+pub fn score(pool: &Pool, host: &Host, spec: &JobSpec, need: &Res) -> f64 {
+    let mut s = 0.0;
+    let fetch_s = (spec.image_gb / pool.fetch_gb_per_s.max(0.01)).min(60.0);
+    s += if host.has_image(spec.image) { fetch_s + 1.0 } else { -fetch_s };
+    if need.gpus <= 0.0 && pool.cap.gpus > 0.0 {
+        s -= 90.0;
     }
-
-    /// Guard against greedy siblings: a replica that stays for hours on a few
-    /// CPUs of a machine with GPUs would keep all GPU work off it, and tasks
-    /// that can't save would be stopped for it at their full loss.
-    fn takes_guarded(host: &Host, spec: &JobSpec) -> bool {
-        let need = Res::of(spec);
-        need.gpus <= 0.0
-            && Picture::is_fixed(spec)
-            && host.guard.is_some_and(|g| !(g + need + host.fixed).fits_in(&host.cap))
+    // Best fit: leave whole machines whole.
+    if pool.cap.cpus > 0.0 {
+        s += 3.0 * (1.0 - (host.free.cpus - need.cpus).max(0.0) / pool.cap.cpus);
     }
-
-    /// Not stopped for others, or only at the loss of all it did.
-    pub fn is_fixed(spec: &JobSpec) -> bool {
-        spec.priority == Priority::Production || spec.checkpoint_s <= 0.0
+    if spec.kind == Kind::Service {
+        s -= 2.0 * f64::from(host.services);
     }
-
-    /// Seconds that a start here is worth against a start elsewhere.
-    fn score(host: &Host, spec: &JobSpec, need: &Res) -> f64 {
-        let mut s = 0.0;
-        if host.images.contains(&spec.image) {
-            s += (spec.image_gb / host.fetch_gb_per_s.max(0.01)).min(60.0) + 1.0;
-        } else {
-            s -= (spec.image_gb / host.fetch_gb_per_s.max(0.01)).min(60.0);
-        }
-        if need.gpus <= 0.0 && host.cap.gpus > 0.0 {
-            s -= 90.0;
-        }
-        // Best fit: leave whole machines whole.
-        if host.cap.cpus > 0.0 {
-            s += 3.0 * (1.0 - (host.free.cpus - need.cpus).max(0.0) / host.cap.cpus);
-        }
-        if spec.kind == Kind::Service {
-            s -= 2.0 * f64::from(host.services);
-        }
-        if host.spot && spec.checkpoint_s <= 0.0 {
-            s -= 2.0;
-        }
-        s - 20.0 * (host.slowness - 1.0).max(0.0)
+    if pool.spot && spec.checkpoint_s <= 0.0 {
+        s -= 2.0;
     }
+    s
+}
 
-    fn best(&self, ask: &Ask<'_>, zone: Option<ZoneIx>) -> Option<usize> {
-        let spec = ask.spec;
-        let need = Res::of(spec);
+impl Picture {
+    fn best(&mut self, ask: &Ask<'_>, zone: Option<ZoneIx>) -> Option<usize> {
+        let need = Res::of(ask.spec);
         let mut best: Option<(f64, usize)> = None;
-        for (i, h) in self.hosts.iter().enumerate() {
-            if zone.is_some_and(|z| z != h.zone) || !Picture::host_allows(h, spec) || ask.avoid.contains(&h.ix) {
-                continue;
-            }
-            if !need.fits_in(&h.free) {
-                continue;
+        let looked = self.candidates(ask.spec, zone, ask.later, |n, h, p| {
+            if ask.avoid.contains(&MachineIx(n as u32)) || (ask.busy_only && (h.places == 0 || h.gpu_only)) {
+                return;
             }
-            let s = Picture::score(h, spec, &need);
+            let s = score(p, h, ask.spec, &need);
             if best.is_none_or(|(b, _)| s > b) {
-                best = Some((s, i));
+                best = Some((s, n));
             }
-        }
-        best.map(|(_, i)| i)
+        });
+        self.looked += looked;
+        best.map(|(_, n)| n)
     }
 
-    /// A copy in which tasks that are being stopped are gone already.
-    pub fn later(&self) -> Picture {
-        let mut p = self.clone();
-        for h in &mut p.hosts {
-            h.free += h.soon;
-            h.soon = Res::default();
-        }
-        p
+    /// One more task of the same job on the machine that its last one took?
+    fn again(&self, ask: &Ask<'_>, host: usize) -> bool {
+        let h = &self.hosts[host];
+        let room = if ask.later { h.free + h.soon } else { h.free };
+        ask.spec.kind != Kind::Service
+            && Res::of(ask.spec).fits_in(&room)
+            && h.pool.is_some_and(|p| self.pools[p].host_allows(h, ask.spec))
     }
 
-    /// Keeps room for picks made on [`Picture::later`]: first what is about to
-    /// be free, then what is free now, so that nobody after takes it.
-    pub fn reserve(&mut self, spec: &JobSpec, picks: &[Pick]) {
-        let need = Res::of(spec);
-        for p in picks {
-            let h = &mut self.hosts[p.host];
-            let from_soon = need.min(h.soon.max0());
-            h.soon -= from_soon;
-            h.free -= need - from_soon;
-        }
-    }
-
-    fn assume(&mut self, spec: &JobSpec, pick: Pick) {
-        let h = &mut self.hosts[pick.host];
-        h.free -= Res::of(spec);
-        if spec.kind == Kind::Service {
-            h.services += 1;
-        }
-        if Picture::is_fixed(spec) {
-            h.fixed += Res::of(spec);
-        }
-    }
-
-    fn revert(&mut self, spec: &JobSpec, picks: &[Pick]) {
+    fn revert_all(&mut self, spec: &JobSpec, picks: &[Pick]) {
         for p in picks.iter().rev() {
-            let h = &mut self.hosts[p.host];
-            h.free += Res::of(spec);
-            if spec.kind == Kind::Service {
-                h.services -= 1;
-            }
-            if Picture::is_fixed(spec) {
-                h.fixed -= Res::of(spec);
-            }
+            self.revert(p.host, spec);
         }
     }
 
     /// A leaf: its children are tasks, alike, so that the first that finds no
-    /// room speaks for the rest. UU is 0 at a leaf.
+    /// room speaks for the rest, and a machine that was best for one takes as
+    /// many as fit. UU is 0 at a leaf. On success the picks stay assumed.
     fn leaf(&mut self, ask: &Ask<'_>, tasks: &[u32], min: usize, zone: Option<ZoneIx>) -> Outcome {
-        let mut picks = Vec::new();
+        let mut picks: Vec<Pick> = Vec::new();
         let mut u = 0;
         for (n, &task) in tasks.iter().enumerate() {
-            match self.best(ask, zone) {
+            let same = picks.last().map(|p| p.host).filter(|&h| self.again(ask, h));
+            match same.or_else(|| self.best(ask, zone)) {
                 Some(host) => {
-                    let pick = Pick { task, host };
-                    self.assume(ask.spec, pick);
-                    picks.push(pick);
+                    self.assume(host, ask.spec);
+                    picks.push(Pick { task, host });
                 }
                 None => {
                     u = tasks.len() - n;
@@ -230,38 +141,39 @@
         }
         let verdict = judge(min, picks.len(), 0, u);
         if verdict != Verdict::Success {
-            self.revert(ask.spec, &picks);
+            self.revert_all(ask.spec, &picks);
             picks.clear();
         }
         Outcome { verdict, picks }
     }
 
-    /// Zones that have hosts the job may use, the roomiest first.
+    /// Zones with machines that the job may use, the roomiest first.
     fn zones(&self, ask: &Ask<'_>) -> Vec<ZoneIx> {
         let need = Res::of(ask.spec);
         let mut out: Vec<(ZoneIx, u32)> = Vec::new();
-        for h in self.hosts.iter().filter(|h| Picture::host_allows(h, ask.spec)) {
-            let n = need.times_in(&h.free).min(1_000_000);
-            match out.iter_mut().find(|(z, _)| *z == h.zone) {
+        for p in self.pools.iter().filter(|p| !p.members.is_empty() && p.allows(ask.spec)) {
+            let n = need.times_in(&p.room).min(1_000_000);
+            match out.iter_mut().find(|(z, _)| *z == p.zone) {
                 Some((_, sum)) => *sum += n,
-                None => out.push((h.zone, n)),
+                None => out.push((p.zone, n)),
             }
         }
         out.sort_by_key(|&(z, n)| (std::cmp::Reverse(n), z));
         out.into_iter().map(|(z, _)| z).collect()
     }
 
-    /// Tries the whole tree. On success the picture keeps what was assumed;
-    /// otherwise it is as before.
+    /// Tries the whole tree, and leaves the picture as it was: whoever wants
+    /// what was found makes places of it, or reserves them.
     pub fn trial(&mut self, ask: &Ask<'_>) -> Outcome {
-        let spec = ask.spec;
-        if spec.one_zone {
-            return self.trial_one_zone(ask);
-        }
-        if spec.spread {
-            return self.trial_spread(ask);
-        }
-        self.leaf(ask, ask.tasks, ask.min, None)
+        let out = if ask.spec.one_zone {
+            self.trial_one_zone(ask)
+        } else if ask.spec.spread {
+            self.trial_spread(ask)
+        } else {
+            self.leaf(ask, ask.tasks, ask.min, None)
+        };
+        self.revert_all(ask.spec, &out.picks);
+        out
     }
 
     /// One composite child per candidate zone; the feasible one with the
@@ -272,27 +184,35 @@
             Some(z) => vec![z],
             None => self.zones(ask),
         };
-        let mut best: Option<(f64, ZoneIx)> = None;
+        let mut best: Option<(f64, Outcome)> = None;
         let mut verdict = Verdict::Unschedulable;
         let cap = (ask.spec.zone_cap() as usize).saturating_sub(held.map_or(0, |z| ask.zone_used[z.at()] as usize));
         let tasks = &ask.tasks[..ask.tasks.len().min(cap)];
         for z in candidates {
             let out = self.leaf(ask, tasks, ask.min, Some(z));
-            if out.verdict == Verdict::Success {
-                let need = Res::of(ask.spec);
-                let picks = &out.picks;
-                let quick: f64 = picks.iter().map(|p| Picture::score(&self.hosts[p.host], ask.spec, &need)).sum();
-                let score = picks.len() as f64 * 1e6 + quick / picks.len().max(1) as f64;
-                self.revert(ask.spec, picks);
-                if best.is_none_or(|(b, _)| score > b) {
-                    best = Some((score, z));
-                }
-            } else {
+            if out.verdict != Verdict::Success {
                 verdict = out.verdict;
+                continue;
+            }
+            let need = Res::of(ask.spec);
+            let quick = |p: &Pick| {
+                let h = &self.hosts[p.host];
+                h.pool.map_or(0.0, |n| score(&self.pools[n], h, ask.spec, &need))
+            };
+            let quick: f64 = out.picks.iter().map(quick).sum();
+            let s = out.picks.len() as f64 * 1e6 + quick / out.picks.len().max(1) as f64;
+            self.revert_all(ask.spec, &out.picks);
+            if best.as_ref().is_none_or(|(b, _)| s > *b) {
+                best = Some((s, out));
             }
         }
         match best {
-            Some((_, z)) => self.leaf(ask, tasks, ask.min, Some(z)),
+            Some((_, out)) => {
+                for p in &out.picks {
+                    self.assume(p.host, ask.spec);
+                }
+                out
+            }
             None => Outcome { verdict, picks: Vec::new() },
         }
     }
@@ -329,7 +249,7 @@
         }
         let verdict = judge(ask.min, picks.len(), 0, u.max(rest.len()));
         if verdict != Verdict::Success {
-            self.revert(ask.spec, &picks);
+            self.revert_all(ask.spec, &picks);
             picks.clear();
         }
         Outcome { verdict, picks }
@@ -339,28 +259,34 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::coordination::model::tests::spec;
+    use crate::{
+        coordination::model::{tests::spec, TypeInfo},
+        protocol::{jobs::Priority, names::TypeIx},
+    };
+
+    /// A machine of a case: zone, CPUs, GPUs, spot, what GPU work needs there.
+    type Machine = (u32, f64, f64, bool, Option<Res>);
 
-    pub fn host(n: u32, zone: u32, cpus: f64) -> Host {
-        let cap = Res { cpus, gpus: 0.0, memory_gb: 100.0 };
-        Host {
-            ix: MachineIx(n),
-            ty: TypeIx(0),
-            zone: ZoneIx(zone),
-            spot: false,
-            cap,
-            free: cap,
-            soon: Res::default(),
-            images: Rc::from([]),
-            fetch_gb_per_s: 1.0,
-            price: 1.0,
-            services: 0,
-            slowness: 1.0,
-            open: true,
-            guard: None,
-            gpu_only: false,
-            fixed: Res::default(),
+    fn picture(machines: &[Machine]) -> Picture {
+        let mut p = Picture::default();
+        for (n, &(zone, cpus, gpus, spot, guard)) in machines.iter().enumerate() {
+            let t = TypeInfo {
+                // One type for each size; those of a case without GPUs are type 0.
+                ix: TypeIx(0),
+                cap: Res { cpus, gpus, memory_gb: 100.0 },
+                cache_gb: 50.0,
+                fetch_gb_per_s: 1.0,
+                price: 1.0,
+                spot_price: 0.5,
+                boot_s: 5.0,
+                zones: vec![ZoneIx(zone)],
+            };
+            let pool = p.pool_of(&t, ZoneIx(zone), spot);
+            p.pools[pool].guard = guard;
+            p.move_to(n, Some(pool));
+            p.set_open(n, true, false);
         }
+        p
     }
 
     #[test]
@@ -387,7 +313,7 @@
         use Verdict::*;
         struct Case {
             name: &'static str,
-            hosts: Vec<Host>,
+            hosts: Vec<Machine>,
             kind: Kind,
             tasks: u32,
             min: usize,
@@ -395,15 +321,9 @@
             zone_used: Vec<u32>,
             want: (Verdict, usize),
         }
-        let two = || vec![host(0, 0, 8.0), host(1, 1, 4.0)];
-        let mut closed = host(0, 0, 8.0);
-        closed.open = false;
-        let mut spot = host(0, 0, 8.0);
-        spot.spot = true;
-        let mut gpu = host(0, 0, 8.0);
-        gpu.cap.gpus = 4.0;
-        gpu.free.gpus = 4.0;
-        gpu.guard = Some(Res { cpus: 5.0, gpus: 4.0, memory_gb: 1.0 });
+        let two = || vec![(0, 8.0, 0.0, false, None), (1, 4.0, 0.0, false, None)];
+        let spot = (0, 8.0, 0.0, true, None);
+        let gpu = (0, 8.0, 4.0, false, Some(Res { cpus: 5.0, gpus: 4.0, memory_gb: 1.0 }));
         let prod: fn(&mut JobSpec) = |s| s.priority = Priority::Production;
         let cases = vec![
             Case {
@@ -531,7 +451,7 @@
             // Guard: replicas left no GPU machine to the work that needs one.
             Case {
                 name: "guarded",
-                hosts: vec![gpu.clone()],
+                hosts: vec![gpu],
                 kind: Kind::Service,
                 tasks: 2,
                 min: 1,
@@ -550,12 +470,12 @@
                 want: (Success, 4),
             },
             Case {
-                name: "closed",
-                hosts: vec![closed],
+                name: "more than a machine has",
+                hosts: two(),
                 kind: Kind::Array,
                 tasks: 1,
                 min: 1,
-                change: |_| {},
+                change: |s| s.cpus = 9.0,
                 zone_used: vec![0],
                 want: (Unschedulable, 0),
             },
@@ -563,19 +483,57 @@
         for c in cases {
             let mut s = spec(c.kind, Priority::Normal, c.tasks, 2.0);
             (c.change)(&mut s);
-            let mut p = Picture { hosts: c.hosts };
-            let before: Vec<Res> = p.hosts.iter().map(|h| h.free).collect();
+            let mut p = picture(&c.hosts);
+            let room = |p: &Picture| p.hosts.iter().map(|h| (h.free, h.soon)).collect::<Vec<_>>();
+            let before = room(&p);
             let tasks: Vec<u32> = (0..c.tasks).collect();
-            let ask = Ask { spec: &s, tasks: &tasks, min: c.min, zone_used: &c.zone_used, avoid: &[] };
+            let mut ask = Ask {
+                spec: &s,
+                tasks: &tasks,
+                min: c.min,
+                zone_used: &c.zone_used,
+                avoid: &[],
+                later: false,
+                busy_only: false,
+            };
             let out = p.trial(&ask);
             assert_eq!((out.verdict, out.picks.len()), c.want, "{}", c.name);
-            if out.verdict != Success {
-                let after: Vec<Res> = p.hosts.iter().map(|h| h.free).collect();
-                assert_eq!(before, after, "{}: taken back", c.name);
-            }
+            assert_eq!(before, room(&p), "{}: taken back", c.name);
             let mut seen: Vec<u32> = out.picks.iter().map(|p| p.task).collect();
             seen.dedup();
             assert_eq!(seen.len(), out.picks.len(), "{}: each task once", c.name);
+            // What is reserved is nobody else's until it is released.
+            for pick in &out.picks {
+                p.reserve(pick.host, Res::of(&s), Res::default());
+            }
+            let full = p.trial(&ask);
+            assert!(c.want.0 != Success || full.picks.len() < c.tasks as usize, "{}", c.name);
+            p.release(0);
+            assert_eq!(before, room(&p), "{}: released", c.name);
+            // Machines that take nothing, and those where everything stops.
+            for n in 0..c.hosts.len() {
+                p.set_open(n, false, false);
+            }
+            assert_eq!(p.trial(&ask).picks.len(), 0, "{}: closed", c.name);
+            for n in 0..c.hosts.len() {
+                p.set_open(n, true, false);
+                for _ in 0..9 {
+                    p.take(n, &s);
+                    p.stop(n, &s);
+                }
+            }
+            assert_eq!(p.trial(&ask).picks.len(), 0, "{}: full", c.name);
+            ask.later = true;
+            let after = p.trial(&ask);
+            if c.hosts.iter().all(|h| h.4.is_none()) {
+                assert_eq!((after.verdict, after.picks.len()), c.want, "{}: later", c.name);
+            }
+            for n in 0..c.hosts.len() {
+                for _ in 0..9 {
+                    p.give(n, &s, true);
+                }
+            }
+            assert_eq!(before, room(&p), "{}: all gone", c.name);
         }
     }
 }
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -210,6 +210,7 @@
         }
         if let Some(l) = &mut self.leader {
             l.types.clone_from(&types);
+            l.picture.types_changed(&types);
         }
         self.types = types;
     }
@@ -336,9 +337,7 @@
         if !l.loaded {
             return self.load_tasks(net, now, stamp);
         }
-        l.expire(now);
-        l.probe(now);
-        l.note_idle(now);
+        l.sweep(now);
         l.fleet_step(now, &self.tables);
         let gap = now.saturating_sub(l.last_pass);
         // While the budget for writes is low, a pass places more at a time, so
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -683,9 +683,7 @@
         for ix in changed {
             l.job_update(now, now, ix, &self.mirror);
         }
-        l.expire(now);
-        l.probe(now);
-        l.note_idle(now);
+        l.sweep(now);
         if self.capacity > 0 {
             l.fleet_step(now, &self.tables);
         }
@@ -709,7 +707,7 @@
             return;
         }
         // Now and then there is budget to spare.
-        let spare = now / 1_000 % 4 == 0;
+        let spare = (now / 1_000).is_multiple_of(4);
         if !l.has_writes(now, spare) {
             return;
         }
