Users' writes have a part of their own at the leader too

Cause: the leader's transactions drew its budget down to what submissions must leave, so that a submission that came to the leader was refused while it was busy.

--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -6,7 +6,7 @@
 use super::wiring::{wall_ms, Node, Peer, Pending};
 use crate::{
     bookkeeping::{
-        budget::{share, Urgency},
+        budget::{share, Part, Urgency},
         records::{self, LeaderRecord},
     },
     coordination::{
@@ -235,6 +235,7 @@
             leading,
             reads_used: self.reads.used(now),
             writes_used: self.writes.used(now),
+            commits_used: self.commits.used(now),
             counts,
         };
         let bytes = peers::encode(&g);
@@ -290,21 +291,27 @@
 
     // ---- leading ---------------------------------------------------------
 
-    /// Shares follow need: what peers say they use is left to them.
+    /// Shares follow need: what others say they use is left to them.
     fn set_budgets(&mut self, now: Ms, leading: bool) {
         if self.budget_leading == Some(leading) {
             return;
         }
         self.budget_leading = Some(leading);
         let st = &self.settings.cluster.state;
+        let all = self.peers.len() + 1;
         let used = |of: fn(&Peer) -> f64| -> Vec<Option<f64>> {
             self.peers.iter().map(|p| p.heard.filter(|h| now < h + PEER_SILENT_MS).map(|_| of(p))).collect()
         };
-        let burst = if leading { 0.5 } else { 0.2 };
-        let (r, w) =
-            (share(st.rps, leading, &used(|p| p.reads_used)), share(st.write_rps, leading, &used(|p| p.writes_used)));
-        self.reads.set(r, st.rps * burst);
-        self.writes.set(w, (st.write_rps * burst).max(4.0));
+        let reads = share(st.rps, if leading { Part::Leader } else { Part::Users(all) }, &used(|p| p.reads_used));
+        let mut others = used(|p| p.writes_used + p.commits_used);
+        others.push(Some(self.commits.used(now)));
+        let writes = share(st.write_rps, Part::Users(all), &others);
+        let mut others = used(|p| p.writes_used);
+        others.push(Some(self.writes.used(now)));
+        let commits = share(st.write_rps, Part::Leader, &others);
+        self.reads.set(reads, st.rps * if leading { 0.5 } else { 0.2 });
+        self.writes.set(writes, (st.write_rps * 0.2).max(4.0));
+        self.commits.set(commits, (st.write_rps * 0.5).max(4.0));
     }
 
     fn lead(&mut self, net: &mut Net) {
@@ -342,7 +349,7 @@
         let gap = now.saturating_sub(l.last_pass);
         // While the budget for writes is low, a pass places more at a time, so
         // that one write carries more.
-        let low = self.writes.available(now, Urgency::Commit) < LOW * self.writes.burst();
+        let low = self.commits.available(now, Urgency::Commit) < LOW * self.commits.burst();
         if (l.dirty && gap >= if low { SLOW_PASS_GAP_MS } else { PASS_GAP_MS }) || gap >= 1_000 {
             l.pass(now);
         }
@@ -418,8 +425,8 @@
             }
             return;
         }
-        let allowed = self.writes.available(now, Urgency::Commit);
-        let spare = allowed > SPARE * self.writes.burst();
+        let allowed = self.commits.available(now, Urgency::Commit);
+        let spare = allowed > SPARE * self.commits.burst();
         if !l.has_writes(now, spare) {
             return;
         }
@@ -427,7 +434,7 @@
             return;
         }
         let Some(txn) = l.commit(now, allowed as usize, spare, &self.tables) else { return };
-        let _ = self.writes.take(now, txn.writes.len() as f64, Urgency::Lease);
+        let _ = self.commits.take(now, txn.writes.len() as f64, Urgency::Lease);
         let _ = self.reads.take(now, 1.0, Urgency::Lease);
         let bytes = cbor::encode(&txn);
         // Guard: rechecked at each send.
@@ -659,7 +666,7 @@
                     Err(_) => CommitOutcome::Unknown,
                 },
                 429 => {
-                    self.writes.refused(now);
+                    self.commits.refused(now);
                     CommitOutcome::Refused
                 }
                 503 => CommitOutcome::Refused,
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -106,6 +106,7 @@
     pub leading: bool,
     pub reads_used: f64,
     pub writes_used: f64,
+    pub commits_used: f64,
 }
 
 /// A read or watch that is kept going: at most one at a time, again after a pause.
@@ -130,7 +131,10 @@
     pub election: Election,
     pub leader: Option<Leader>,
     pub reads: Budget,
+    /// For users' requests.
     pub writes: Budget,
+    /// For the leader's own work.
+    pub commits: Budget,
     pub cloud: Budget,
     pub types: Vec<TypeInfo>,
     pub peers: Vec<Peer>,
@@ -183,13 +187,15 @@
                 leading: false,
                 reads_used: 0.0,
                 writes_used: 0.0,
+                commits_used: 0.0,
             })
             .collect();
         let election = Election::new(&settings.label, nonce, operator.leader_ttl_ms);
         let (st, cl) = (&settings.cluster.state, &settings.cluster.cloud);
         Node {
             reads: Budget::new(st.rps * 0.25, st.rps * 0.3),
-            writes: Budget::new(st.write_rps * 0.25, st.write_rps * 0.5),
+            writes: Budget::new(st.write_rps * 0.2, st.write_rps * 0.2),
+            commits: Budget::new(st.write_rps * 0.5, st.write_rps * 0.5),
             cloud: Budget::new(cl.rps * 0.9, cl.rps * 1.5),
             tables,
             mirror: Mirror::default(),
@@ -323,7 +329,7 @@
                         permit: Some(permit),
                     }],
                 };
-                let _ = self.writes.take(now, 1.0, Urgency::Lease);
+                let _ = self.commits.take(now, 1.0, Urgency::Lease);
                 self.ask_state(net, Pending::Claim, "POST", "/multi".into(), cbor::encode(&txn), 1_500);
             }
             Act::Resign(p) => {
@@ -412,7 +418,7 @@
         p.state_age = g.state_age_ms;
         p.knocks = g.knocks;
         p.leading = g.leading;
-        (p.reads_used, p.writes_used) = (g.reads_used, g.writes_used);
+        (p.reads_used, p.writes_used, p.commits_used) = (g.reads_used, g.writes_used, g.commits_used);
         for c in g.counts {
             self.mirror.show(&c.job, c.done, c.running);
         }
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -15,7 +15,9 @@
     pub leading: bool,
     /// What the sender uses a second of the state service's limits.
     pub reads_used: f64,
+    /// For users' requests, and for its own work as the leader.
     pub writes_used: f64,
+    pub commits_used: f64,
     /// From the leader: counts of jobs that changed lately, for display.
     pub counts: Vec<Count>,
 }
@@ -49,6 +51,7 @@
             leading: true,
             reads_used: 7.5,
             writes_used: 0.5,
+            commits_used: 1.0,
             counts: vec![Count { job: "j-1".into(), done: 2, running: 3 }],
         };
         let bytes = encode(&g);
