Guard: a session learned from a probe has a lease of its own

Cause: a worker whose reports don't come through began a new session, which the answer to a command showed; its lease was still counted from the last report of the session before, so that it was counted out at once, every 250 ms, while its new tasks ran. Excluded: records, takeover (one leader all along). A case in the table fails without the guard.

--- a/src/coordination/leader/leases.rs
+++ b/src/coordination/leader/leases.rs
@@ -45,6 +45,7 @@
         let t = if is_there { self.type_of(m) } else { None };
         let open = m.life == Life::Up
             && m.heard.is_some_and(|h| now < h + 2 * self.cfg.report_ms + 500)
+            && m.session > m.dead_session
             && m.notice_until.is_none()
             && !m.retire
             && now >= m.avoid_until;
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -86,6 +86,9 @@
             // A new session: the worker killed and forgot all of the former.
             let had = m.session;
             m.session = r.session;
+            // Guard: the new session has a lease of its own, from its beginning
+            // on, also where only a probe or a command's answer tells of it.
+            m.renewed = m.renewed.max(now);
             if had != 0 {
                 tracing::info!(machine = &*m.id, session = r.session, "new session");
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -102,6 +102,17 @@
     w.run(40_000);
 }
 
+/// Guard: a session learned from a probe or a command's answer has a lease of
+/// its own, counted from when it was seen, though no report of it came.
+fn a_new_session_seen_by_a_probe(w: &mut World) {
+    w.submit(sub("j-1", "service", 9), 0);
+    w.until("runs", 10_000, |w| w.where_is("j-1/8").is_some());
+    w.workers.iter_mut().skip(1).for_each(|x| x.mute = true);
+    w.run(LEASE * 3);
+    w.workers.iter_mut().for_each(|x| x.mute = false);
+    w.until("runs", 40_000, |w| w.where_is("j-1/8").is_some());
+}
+
 fn a_worker_that_is_cut_off_goes_on(w: &mut World) {
     w.submit(sub("j-1", "service", 2), 0);
     w.until("runs", 10_000, |w| w.where_is("j-1/0").is_some());
@@ -405,6 +416,7 @@
         ("late command, hung worker", a_late_command_to_a_hung_worker),
         ("preempted, launch in flight", preempted_with_the_launch_in_flight),
         ("repeated command", a_repeated_command_after_the_reap),
+        ("session seen by a probe", a_new_session_seen_by_a_probe),
         ("cut worker", a_worker_that_is_cut_off_goes_on),
         ("late report", a_late_report_from_before_the_launch),
         ("late transaction", a_late_transaction_of_the_leader_before),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -119,6 +119,8 @@
     pub dead: bool,
     /// Hears no answers to its reports.
     pub deaf: bool,
+    /// Its reports go nowhere, commands and probes reach it.
+    pub mute: bool,
 }
 
 impl Worker {
@@ -302,6 +304,7 @@
             hung: false,
             dead: false,
             deaf: false,
+            mute: false,
         });
         id
     }
@@ -506,7 +509,7 @@
     fn send_report(&mut self, n: usize) {
         let sent = self.now;
         let r = self.workers[n].report();
-        if self.workers[n].cut {
+        if self.workers[n].cut || self.workers[n].mute {
             return;
         }
         if self.chance(self.weather.late_report) {
