At the limit of sockets the longest idle connections make room

Idle connections of ours are now at most an eighth of the limit; at the limit these are closed first, then served ones idle for three reports, never one that is being answered.

Idle-connection time-outs have a case now.

--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -448,7 +448,8 @@
 /// Runs one controller until the process ends.
 pub fn run(settings: Settings, operator: Operator) -> Result<(), NodeError> {
     let mut event_loop: EventLoop<'static, Net> = EventLoop::try_new().map_err(|e| NodeError::Loop(e.to_string()))?;
-    let limits = Limits { sockets: settings.cluster.limits.sockets, idle_ms: 75_000, head_ms: 5_000 };
+    let stale_ms = ((settings.cluster.workers.report_s * 3_000.0) as u64).clamp(10_000, 60_000);
+    let limits = Limits { sockets: settings.cluster.limits.sockets, idle_ms: 75_000, head_ms: 5_000, stale_ms };
     let mut net = Net::new(&event_loop, limits);
     for (addr, frames) in [(settings.client_listen, false), (settings.cluster_listen, true)] {
         net.listen(addr, frames).map_err(|source| NodeError::Listen { addr, source })?;
--- a/src/transport/net.rs
+++ b/src/transport/net.rs
@@ -28,6 +28,21 @@
     pub idle_ms: u64,
     /// A request must be whole this long after its first byte.
     pub head_ms: u64,
+    /// At the limit of sockets, a served connection that has had no request
+    /// for this long may be closed for another.
+    pub stale_ms: u64,
+}
+
+impl Limits {
+    /// Sockets that accepted connections must leave to our own calls and links.
+    fn reserve(&self) -> usize {
+        (self.sockets / 16).max(16)
+    }
+
+    /// Idle connections kept for the next calls, to all services together.
+    fn idle_calls(&self) -> usize {
+        (self.sockets / 8).max(8)
+    }
 }
 
 /// One request to an outside service.
@@ -64,6 +79,9 @@
 const CONNECT_MS: u64 = 1_000;
 const POOL_IDLE_MS: u64 = 30_000;
 const POOL_MAX_IDLE: usize = 8;
+/// Connections closed at a time when sockets run out, and the pause after none could be.
+const CLOSED_AT_ONCE: usize = 32;
+const FULL_MS: u64 = 50;
 
 enum Role {
     /// A client's connection: `busy` while a request is being answered.
@@ -104,6 +122,9 @@
     events: VecDeque<Event>,
     scratch: Vec<u8>,
     next_sweep: u64,
+    /// Idle connections of ours, the one idle longest first (some may be in use again).
+    idle_calls: VecDeque<(ConnId, u64)>,
+    full_until: u64,
 }
 
 enum Fate {
@@ -124,6 +145,8 @@
             events: VecDeque::new(),
             scratch: vec![0; 64 * 1024],
             next_sweep: 0,
+            idle_calls: VecDeque::new(),
+            full_until: 0,
         }
     }
 
@@ -164,7 +187,8 @@
         for _ in 0..64 {
             match listener.accept() {
                 Ok((stream, _)) => {
-                    if self.conns.len() + 16 >= self.limits.sockets {
+                    let most = self.limits.sockets.saturating_sub(self.limits.reserve());
+                    if self.conns.len() >= most && !self.free_sockets() {
                         continue; // dropped, which closes it: the balancer moves on
                     }
                     if stream.set_nonblocking(true).is_err() {
@@ -188,6 +212,53 @@
         }
     }
 
+    /// At the limit of sockets: closes idle connections of our own first, then
+    /// served ones that have had no request for long, the longest idle first;
+    /// never one whose request is being answered. False: there was none.
+    fn free_sockets(&mut self) -> bool {
+        let now = self.now();
+        if now < self.full_until {
+            return false;
+        }
+        for _ in 0..CLOSED_AT_ONCE {
+            if !self.close_oldest_idle_call() {
+                break;
+            }
+        }
+        if self.conns.len() < self.limits.sockets.saturating_sub(self.limits.reserve()) {
+            return true;
+        }
+        let stale_at = now + self.limits.idle_ms.saturating_sub(self.limits.stale_ms);
+        let mut stale: Vec<(u64, ConnId)> = self
+            .conns
+            .iter()
+            .filter(|(_, c)| matches!(c.role, Role::Served { busy: false, .. }) && c.input.is_empty())
+            .filter(|(_, c)| c.deadline <= stale_at)
+            .map(|(&id, c)| (c.deadline, id))
+            .collect();
+        stale.sort_unstable();
+        for &(_, id) in stale.iter().take(CLOSED_AT_ONCE) {
+            self.close(id);
+        }
+        if stale.is_empty() {
+            self.full_until = now + FULL_MS;
+        }
+        !stale.is_empty()
+    }
+
+    fn close_oldest_idle_call(&mut self) -> bool {
+        while let Some((id, since)) = self.idle_calls.pop_front() {
+            let idle = self.conns.get(&id).is_some_and(|c| {
+                matches!(c.role, Role::Calling { tag: None, .. }) && c.deadline == since + POOL_IDLE_MS
+            });
+            if idle {
+                self.close(id);
+                return true;
+            }
+        }
+        false
+    }
+
     fn register(&mut self, stream: TcpStream, role: Role, connecting: bool, deadline: u64) -> Option<ConnId> {
         let id = self.next_id;
         self.next_id += 1;
@@ -323,6 +394,10 @@
                     let idle = self.pool.entry(dest).or_default();
                     if reusable && idle.len() < POOL_MAX_IDLE {
                         idle.push(id);
+                        self.idle_calls.push_back((id, now));
+                        if self.idle_calls.len() > self.limits.idle_calls() {
+                            self.close_oldest_idle_call();
+                        }
                         Fate::Keep
                     } else {
                         Fate::Close
@@ -416,6 +491,9 @@
         let id = match self.pool.get_mut(&call.dest).and_then(Vec::pop) {
             Some(id) => id,
             None => {
+                if self.conns.len() >= self.limits.sockets {
+                    self.free_sockets();
+                }
                 let role = Role::Calling { dest: call.dest, tag: None, sent: false };
                 let opened = Net::dial(call.dest).ok().and_then(|s| self.register(s, role, true, deadline));
                 let Some(id) = opened else {
@@ -502,3 +580,99 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    struct Bed {
+        event_loop: EventLoop<'static, Net>,
+        net: Net,
+        at: SocketAddr,
+    }
+
+    fn bed(limits: Limits) -> Bed {
+        let event_loop = EventLoop::try_new().unwrap();
+        let mut net = Net::new(&event_loop, limits);
+        let at = net.listen("127.0.0.1:0".parse().unwrap(), false).unwrap();
+        Bed { event_loop, net, at }
+    }
+
+    impl Bed {
+        fn turn(&mut self, ms: u64) {
+            let until = self.net.now() + ms;
+            while self.net.now() < until {
+                self.net.turn(&mut self.event_loop, Duration::from_millis(5)).unwrap();
+                while let Some(e) = self.net.pop() {
+                    if let Event::Request { conn, req } = e {
+                        if req.path == "/now" {
+                            self.net.respond(conn, 200, None, b"");
+                        }
+                    }
+                }
+            }
+        }
+
+        fn client(&mut self, send: &[u8]) -> TcpStream {
+            let mut s = TcpStream::connect(self.at).unwrap();
+            s.write_all(send).unwrap();
+            s.set_nonblocking(true).unwrap();
+            s
+        }
+    }
+
+    fn is_open(s: &mut TcpStream) -> bool {
+        let mut buf = [0; 1024];
+        loop {
+            match s.read(&mut buf) {
+                Ok(0) => return false,
+                Ok(_) => {}
+                Err(e) => return e.kind() == io::ErrorKind::WouldBlock,
+            }
+        }
+    }
+
+    /// Guard: a connection lives only as long as something comes of it.
+    #[test]
+    fn connections_that_idle_are_closed() {
+        let mut b = bed(Limits { sockets: 100, idle_ms: 1_500, head_ms: 300, stale_ms: 100 });
+        // (what the client sends, open after 700 ms, open after 2,500 ms)
+        let cases: [(&[u8], bool, bool); 4] = [
+            (b"", true, false),
+            (b"GET /now HTTP/1.1\r\n\r\n", true, false),
+            (b"GET /now HT", false, false),
+            (b"POST /now HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", false, false),
+        ];
+        let mut clients: Vec<TcpStream> = cases.iter().map(|c| b.client(c.0)).collect();
+        b.turn(700);
+        for (c, (sent, open, _)) in clients.iter_mut().zip(cases) {
+            assert_eq!(is_open(c), open, "after 700 ms: {}", String::from_utf8_lossy(sent));
+        }
+        b.turn(1_800);
+        for (c, (sent, _, open)) in clients.iter_mut().zip(cases) {
+            assert_eq!(is_open(c), open, "after 2,500 ms: {}", String::from_utf8_lossy(sent));
+        }
+        assert_eq!(b.net.sockets(), 0);
+    }
+
+    /// Guard: machines that are gone left their connections behind; at the
+    /// limit those that live found none, until leases ran out.
+    #[test]
+    fn at_the_limit_the_longest_idle_make_room() {
+        let mut b = bed(Limits { sockets: 40, idle_ms: 60_000, head_ms: 5_000, stale_ms: 300 });
+        let mut old: Vec<TcpStream> = (0..24).map(|_| b.client(b"GET /now HTTP/1.1\r\n\r\n")).collect();
+        b.turn(100);
+        // One is being answered: it is not idle, however long it takes.
+        old[0].write_all(b"GET /later HTTP/1.1\r\n\r\n").unwrap();
+        let mut early = b.client(b"GET /now HTTP/1.1\r\n\r\n");
+        b.turn(100);
+        assert!(!is_open(&mut early), "nothing idle for long yet: refused");
+        b.turn(400);
+        let mut new: Vec<TcpStream> = (0..10).map(|_| b.client(b"GET /now HTTP/1.1\r\n\r\n")).collect();
+        b.turn(200);
+        assert!(new.iter_mut().all(is_open), "room is made for those that come");
+        assert!(is_open(&mut old[0]), "a request that is being answered is not cut off");
+        assert!(old.iter_mut().filter_map(|c| is_open(c).then_some(())).count() < 24);
+        assert!(b.net.sockets() <= 24);
+    }
+}
