--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -205,6 +205,7 @@
                     }
                 }
                 Life::Up if silent(m) && cloud_there && alone(m) => "silent",
+                Life::Up if m.is_deaf() && cloud_there && self.others_heed(now, m) => "hears nothing",
                 Life::Up if m.places.is_empty() && m.retire => "retired",
                 Life::Up if m.places.is_empty() && self.idle_long(now, m) => "idle",
                 Life::Up => continue,
@@ -254,6 +255,20 @@
         self.fleet.sound.get(&zone).is_some_and(|since| now > since + self.cfg.silent_ms)
     }
 
+    /// Most machines that speak take what they are told; otherwise it is we
+    /// who don't get through.
+    fn others_heed(&self, now: Ms, deaf: &Machine) -> bool {
+        let lately = |m: &&Machine| {
+            m.life == Life::Up && m.id != deaf.id && m.heard.is_some_and(|h| now < h + 2 * self.cfg.report_ms)
+        };
+        let (mut heed, mut all) = (0, 0);
+        for m in self.machines.iter().filter(lately) {
+            all += 1;
+            heed += usize::from(m.unheeded == 0);
+        }
+        heed * 2 > all
+    }
+
     fn idle_long(&self, now: Ms, m: &Machine) -> bool {
         m.idle_since.is_some_and(|s| now > s + self.keep_ms(now, m))
     }
--- a/src/coordination/leader/commands.rs
+++ b/src/coordination/leader/commands.rs
@@ -155,7 +155,9 @@
                     // raised token fences them, once the worker has shown it.
                     m.token += 1;
                     m.fence = m.token;
+                    m.answered = false;
                     tracing::debug!(machine = &*m.id, token = m.token, "command unanswered, token raised");
+                    self.refresh(now, ix);
                 }
             }
         }
--- a/src/coordination/leader/leases.rs
+++ b/src/coordination/leader/leases.rs
@@ -13,6 +13,7 @@
             return;
         }
         self.next_sweep = now + SWEEP_MS;
+        self.clock = now;
         for n in 0..self.machines.len() {
             let ix = MachineIx(n as u32);
             if self.machines[n].life == Life::Gone {
@@ -45,6 +46,9 @@
         let t = if is_there { self.type_of(m) } else { None };
         let open = m.life == Life::Up
             && m.heard.is_some_and(|h| now < h + 2 * self.cfg.report_ms + 500)
+            // Guard: it has shown our token, so it hears us. A copy of an old
+            // report, of a machine that was handed back, say, can't show it.
+            && m.fenced()
             && m.session > m.dead_session
             && m.notice_until.is_none()
             && !m.retire
--- a/src/coordination/leader/loading.rs
+++ b/src/coordination/leader/loading.rs
@@ -47,6 +47,7 @@
         }
         job.done += newly;
         job.started |= newly > 0;
+        job.begun |= newly > 0;
         if newly > 0 {
             let slots = &job.slots;
             job.pending.retain(|&t| slots[t as usize] == Slot::Pending);
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -131,6 +131,8 @@
 pub struct Leader {
     pub cfg: Config,
     pub stamp: u64,
+    /// The latest moment heard of.
+    pub clock: Ms,
     pub started: Ms,
     pub loaded: bool,
     pub jobs: Vec<Option<Job>>,
@@ -184,6 +186,7 @@
             next_sweep: now,
             cfg,
             stamp,
+            clock: now,
             started: now,
             loaded: false,
             jobs: Vec::new(),
@@ -300,6 +303,7 @@
             stale: false,
             unwritten_since: None,
             started: false,
+            begun: false,
             errors: 0,
             error_on: Vec::new(),
             shown: (0, 0),
--- a/src/coordination/leader/places.rs
+++ b/src/coordination/leader/places.rs
@@ -85,6 +85,7 @@
         if let Some(job) = self.jobs.get_mut(place.job.at()).and_then(Option::as_mut) {
             job.touch(place.task);
             job.placed -= 1;
+            job.begun |= done || place.running_since.is_some_and(|s| self.clock >= s + START_COUNTS_MS);
             if let Some(n) = job.zone_used.get_mut(place.zone.at()) {
                 *n -= 1;
             }
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -25,7 +25,7 @@
         if m.life == Life::Gone || r.session <= m.dead_session {
             return Answer::Stale;
         }
-        self.heard_any = now;
+        (self.heard_any, self.clock) = (now, now);
         if !self.loaded {
             // Answering keeps the worker's lease; what it says is taken up
             // from the next report, when the records are known.
@@ -38,8 +38,19 @@
             let token = self.machines[ix.at()].token;
             return Answer::Ok(ReportAnswer { token, orders: Vec::new() });
         }
+        let m = &mut self.machines[ix.at()];
         // The worker took or dropped our last answer before it sent this.
-        self.machines[ix.at()].answer_open = false;
+        m.answer_open = false;
+        // Guard: a worker that takes an answer shows its token in the next
+        // report. One that never does is deaf. Reports that a cut held back
+        // come together and count once.
+        if r.token >= m.fence {
+            m.unheeded = 0;
+        } else if m.answered && now >= m.unheeded_at + self.cfg.report_ms / 2 {
+            m.unheeded += 1;
+            m.unheeded_at = now;
+        }
+        m.answered = true;
         self.take_report(now, ix, r, mirror, tables);
         let orders = self.orders(now, ix, true);
         let m = &mut self.machines[ix.at()];
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -13,6 +13,9 @@
 
 pub type Ms = u64;
 
+/// What runs this long has started for good (PROTOCOL, "How aims are counted").
+pub const START_COUNTS_MS: Ms = 30_000;
+
 macro_rules! index {
     ($name:ident) => {
         #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -150,6 +153,8 @@
     pub stale: bool,
     /// Since when ends wait to be written.
     pub unwritten_since: Option<Ms>,
+    /// A task ended done, or ran long enough to count as a start.
+    pub begun: bool,
     /// Something ran before: later tasks may trigger eviction on their own.
     pub started: bool,
     pub errors: u32,
@@ -264,6 +269,9 @@
     Gone,
 }
 
+/// Reports in a row, without a sign of our answers, that make a machine deaf.
+const DEAF: u32 = 3;
+
 #[derive(Debug)]
 pub struct Machine {
     pub id: String,
@@ -281,6 +289,11 @@
     /// Absence and ends prove something once it has shown at least this token.
     pub fence: u64,
     pub seen_token: u64,
+    /// A report of it was answered since the fence was last raised; reports
+    /// since that show no sign of an answer, and when the last of them came.
+    pub answered: bool,
+    pub unheeded: u32,
+    pub unheeded_at: Ms,
     /// When its last report came.
     pub heard: Option<Ms>,
     /// When the last 200 went to one of its reports, by us or anyone before.
@@ -326,6 +339,9 @@
             token,
             fence: token,
             seen_token: 0,
+            answered: false,
+            unheeded: 0,
+            unheeded_at: 0,
             heard: None,
             renewed: now,
             probing: false,
@@ -349,6 +365,11 @@
         }
     }
 
+    /// Its reports come, but what it is told doesn't reach it.
+    pub fn is_deaf(&self) -> bool {
+        self.unheeded >= DEAF
+    }
+
     /// No command sent earlier can still take effect behind our back.
     pub fn fenced(&self) -> bool {
         self.seen_token >= self.fence
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -21,6 +21,12 @@
 /// How long work of normal priority waits before others' work is stopped for it.
 const PATIENCE_MS: i64 = 10_000;
 
+/// Users are promised a beginning within four minutes: what has waited this
+/// long goes before all but services.
+const BEGIN_S: f64 = 150.0;
+/// The part of an array's tasks with which it begins then.
+const DUE_PART: u32 = 16;
+
 /// Replicas are expected at the rate of this long before.
 const HEADROOM_WINDOW_S: f64 = 120.0;
 /// Room is kept for as many as arrive in this time.
@@ -94,19 +100,26 @@
         }
     }
 
+    /// Services first; then what has waited so long without a start that its
+    /// beginning is due, the oldest first; then by priority, work within its
+    /// team's guarantee before other work.
     fn pass_order(&self, now: Ms) -> Vec<JobIx> {
-        let mut order: Vec<(Priority, bool, (u32, f64), JobIx)> = self
+        let mut order: Vec<(u8, bool, (u32, f64), JobIx)> = self
             .active
             .iter()
             .filter_map(|&ix| self.job(ix))
             .filter(|j| j.status == Status::Pending && !j.pending.is_empty() && now >= j.not_before && !j.stale)
             // A gang starts anew only once all of its old attempt is gone.
             .filter(|j| j.spec.kind != Kind::Gang || j.placed == 0)
-            .map(|j| (j.spec.priority, j.within, self.turn(now, j), j.ix))
+            .map(|j| match j.spec.priority {
+                Priority::Production => (0, !j.within, self.turn(now, j), j.ix),
+                _ if is_due(now, j) => (1, false, (0, -j.age_s(now)), j.ix),
+                p => (2 + Priority::High as u8 - p as u8, !j.within, self.turn(now, j), j.ix),
+            })
             .collect();
         order.sort_by(|a, b| {
             let turn = a.2 .0.cmp(&b.2 .0).then(a.2 .1.total_cmp(&b.2 .1));
-            b.0.cmp(&a.0).then(b.1.cmp(&a.1)).then(turn).then(a.3.cmp(&b.3))
+            a.0.cmp(&b.0).then(a.1.cmp(&b.1)).then(turn).then(a.3.cmp(&b.3))
         });
         order.into_iter().map(|o| o.3).collect()
     }
@@ -156,6 +169,7 @@
         // Shapes that found no room at all, now or once what is being stopped
         // is gone: room only shrinks within a pass.
         let mut failed = Failed::default();
+        let mut gathering = false;
         for ix in order {
             let Some(job) = self.job(ix) else { continue };
             let spec = job.spec.clone();
@@ -169,8 +183,13 @@
             let Some(job) = self.job(ix) else { continue };
             let used = self.team_used.get(spec.team.at()).copied().unwrap_or_default();
             let room = self.team_limits(spec.team).room_for(&spec, &used);
-            let n = job.pending.len().min(room as usize).min(TASKS_A_PASS.max(gang_size(job)));
             let gang = spec.kind == Kind::Gang;
+            let due = is_due(now, job);
+            let mut n = job.pending.len().min(room as usize).min(TASKS_A_PASS.max(gang_size(job)));
+            if due && spec.kind == Kind::Array {
+                // It is to begin, not to go before all others whole.
+                n = n.min((spec.tasks / DUE_PART).max(1) as usize);
+            }
             if n == 0 || (gang && n < job.pending.len()) {
                 continue; // its team's limit
             }
@@ -205,7 +224,11 @@
             }
             if placed < n {
                 unmet.push((ix, (n - placed) as u32));
+                let kept = self.picture.reservations();
                 self.make_room(now, ix, &tasks[placed..], &mut failed);
+                if gang && due && !gathering && self.picture.reservations() == kept {
+                    gathering = self.gather(&spec, &tasks, &zone_used);
+                }
             } else if let Some(j) = self.job_mut(ix) {
                 j.waiting_since = now;
             }
@@ -214,6 +237,18 @@
         self.fleet.unmet = unmet;
     }
 
+    /// Guard: smaller work takes every machine that a large gang could begin to
+    /// collect. What there is of room for one that is due is kept from all
+    /// after it, pass by pass, until there is enough. True if something was kept.
+    fn gather(&mut self, spec: &JobSpec, tasks: &[u32], zone_used: &[u32]) -> bool {
+        let ask = Ask { spec, tasks, min: 1, zone_used, avoid: &[], later: true, busy_only: false };
+        let out = self.picture.trial(&ask);
+        for p in &out.picks {
+            self.picture.reserve(p.host, Res::of(spec), Res::default());
+        }
+        !out.picks.is_empty()
+    }
+
     /// Shapes of the production services that arrived lately, and how many
     /// replicas of each may be expected within the time a machine takes to come.
     fn headroom(&self, now: Ms) -> Vec<(Rc<JobSpec>, usize)> {
@@ -298,6 +333,15 @@
     }
 }
 
+/// Nothing of it has begun for good, and by now it should.
+pub fn is_overdue(now: Ms, job: &Job) -> bool {
+    !job.begun && job.age_s(now) >= BEGIN_S
+}
+
+fn is_due(now: Ms, job: &Job) -> bool {
+    job.placed == 0 && is_overdue(now, job)
+}
+
 /// Shapes that a pass found no room for.
 #[derive(Default)]
 struct Failed {
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -1,7 +1,7 @@
 //! Eviction, decided at the root: which tasks are stopped so that a job of
 //! higher priority, or one within its team's guarantee, gets room.
 
-use super::{leader::Leader, model::*};
+use super::{leader::Leader, model::*, pass::is_overdue};
 use crate::{
     bookkeeping::{mirror::JobIx, records::Status},
     protocol::jobs::{Kind, Priority},
@@ -13,9 +13,6 @@
 const SAMPLE: usize = 256;
 const SAMPLE_TASKS: usize = 64;
 
-/// What runs this long has started for good (PROTOCOL, "How aims are counted").
-const START_COUNTS_S: f64 = 30.0;
-
 const BORROW_PATIENCE_MS: i64 = 12_000;
 
 struct Victim {
@@ -51,6 +48,10 @@
         let ran = place.running_since.map_or(0.0, |s| (now - s) as f64 / 1000.0);
         let lost =
             if job.spec.checkpoint_s > 0.0 { ran.min(job.spec.checkpoint_s).min(job.spec.save_s + 2.0) } else { ran };
+        // Guard: what was let begin at last is not stopped before it has.
+        if by.spec.priority < Priority::Production && is_overdue(now, job) && ran * 1000.0 < START_COUNTS_MS as f64 {
+            return None;
+        }
         let rank = match job.spec.priority {
             Priority::Low => 0.0,
             Priority::Normal => 20.0,
@@ -58,7 +59,7 @@
             Priority::Production => 2_000.0,
         };
         // A start that is stopped soon was none: its users waited for nothing.
-        let fresh = if ran < START_COUNTS_S && job.spec.priority > Priority::Low { 60.0 } else { 0.0 };
+        let fresh = if ran * 1000.0 < START_COUNTS_MS as f64 && job.spec.priority > Priority::Low { 60.0 } else { 0.0 };
         // A gang is stopped whole.
         let many = if job.spec.kind == Kind::Gang { f64::from(job.placed) } else { 1.0 };
         Some(Victim { place: p, need: Res::of(&job.spec), cost: (5.0 + rank + lost + fresh) * many })
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -25,6 +25,8 @@
 };
 
 const WATCH_MS: u64 = 10_000;
+/// Of the leader's key: its end also tells that the state service is there.
+const KEY_WATCH_MS: u64 = 3_000;
 const GOSSIP_MS: Ms = 400;
 /// Between two reads for the barrier, for each controller that does the same.
 const BARRIER_GAP_MS: Ms = 40;
@@ -87,8 +89,8 @@
             }
         } else if self.leader_key.due(now) && self.reads.take(now, 1.0, Urgency::Cancel).is_ok() {
             self.leader_key.in_flight = true;
-            let path = format!("/changes?under={}&from={}&waitMs={WATCH_MS}", records::LEADER, self.leader_epoch);
-            self.ask_state(net, Pending::LeaderWatch, "GET", path, Vec::new(), WATCH_MS + 2_000);
+            let path = format!("/changes?under={}&from={}&waitMs={KEY_WATCH_MS}", records::LEADER, self.leader_epoch);
+            self.ask_state(net, Pending::LeaderWatch, "GET", path, Vec::new(), KEY_WATCH_MS + 2_000);
         }
         if !self.mirror.loaded() {
             if self.jobs_page.due(now) && self.reads.take(now, 1.0, Urgency::Commit).is_ok() {
@@ -230,6 +232,7 @@
         let g = Gossip {
             from: self.settings.label.clone(),
             nonce: self.nonce,
+            count: self.gossips,
             state_age_ms: now.saturating_sub(self.state_ok),
             knocks: self.knocks.len() as u32,
             leading,
@@ -238,6 +241,7 @@
             commits_used: self.commits.used(now),
             counts,
         };
+        self.gossips += 1;
         let bytes = peers::encode(&g);
         for p in &self.peers {
             net.send_frame(p.link, &bytes);
@@ -285,8 +289,7 @@
         if self.knocks.len() > 10_000 {
             self.knocks.clear();
         }
-        let boss = self.election.leader().filter(|l| *l != self.settings.label);
-        net.respond(conn, 421, None, &cbor::encode(&Redirect { report_to: boss }));
+        net.respond(conn, 421, None, &cbor::encode(&Redirect { report_to: self.boss(now) }));
     }
 
     // ---- leading ---------------------------------------------------------
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -100,6 +100,7 @@
 pub struct Peer {
     pub label: String,
     pub link: usize,
+    pub order: peers::Order,
     pub heard: Option<Ms>,
     pub state_age: Ms,
     pub knocks: u32,
@@ -122,6 +123,10 @@
     }
 }
 
+/// How long a peer's word, and the state service's, that somebody leads is believed.
+const BOSS_MS: Ms = 1_500;
+const BOSS_STATE_MS: Ms = 4_500;
+
 pub struct Node {
     pub settings: Settings,
     pub operator: Operator,
@@ -156,6 +161,7 @@
     pub resync: Loop,
     pub knocks: Vec<Ms>,
     pub next_gossip: Ms,
+    pub gossips: u64,
     pub nonce: u64,
     pub budget_leading: Option<bool>,
 }
@@ -181,6 +187,7 @@
             .map(|s| Peer {
                 label: s.label.clone(),
                 link: net.add_link(s.endpoint),
+                order: peers::Order::default(),
                 heard: None,
                 state_age: Ms::MAX,
                 knocks: 0,
@@ -221,6 +228,7 @@
             resync: Loop::default(),
             knocks: Vec::new(),
             next_gossip: 0,
+            gossips: 0,
             nonce,
             budget_leading: None,
             settings,
@@ -408,12 +416,18 @@
     }
 
     fn frame(&mut self, net: &mut Net, bytes: &[u8]) {
-        let Some(g) = peers::decode(bytes) else {
-            tracing::debug!("a frame that can't be read");
-            return;
+        let g = match peers::decode(bytes) {
+            Ok(g) => g,
+            Err(e) => {
+                tracing::debug!(error = %e, "a peer's frame is left out");
+                return;
+            }
         };
         let now = net.now();
         let Some(p) = self.peers.iter_mut().find(|p| p.label == g.from) else { return };
+        if !p.order.is_news(&g) {
+            return;
+        }
         p.heard = Some(now);
         p.state_age = g.state_age_ms;
         p.knocks = g.knocks;
@@ -424,6 +438,17 @@
         }
     }
 
+    /// Whom to send workers to. Guard: never oneself, and nobody whose
+    /// leadership is only remembered: a peer must have said so a moment ago, or
+    /// the state service have answered, while its watch shows the key.
+    pub fn boss(&self, now: Ms) -> Option<&str> {
+        let label = self.election.leader().filter(|l| *l != self.settings.label)?;
+        let peer = self.peers.iter().find(|p| p.label == label)?;
+        let says = peer.leading && peer.heard.is_some_and(|h| now < h + BOSS_MS);
+        let seen = self.state_bad_since.is_none() && now < self.state_ok + BOSS_STATE_MS;
+        (says || seen).then_some(label)
+    }
+
     /// Ready: able to serve users. In an outage of the state service that hits
     /// all, controllers stay ready, so that no connection is lost; one that is
     /// alone in being refused, or sees nobody at all, is not.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -367,7 +367,7 @@
     s.zone = Some("nowhere".into());
     w.submit(s, 1_000);
     w.run(10_000);
-    let ghost = |w: &World, seq: u64| {
+    let ghost = |w: &mut World, seq: u64| {
         let mut r = w.report_of(0);
         r.seq = seq;
         r.tasks =
@@ -407,6 +407,170 @@
     assert_eq!((w.where_is("j-1/0"), w.where_is("j-1/1")), (a, b));
 }
 
+/// Guard: a copy of a report of a machine that was handed back comes to a
+/// leader that never heard of it: nothing is given to the ghost.
+fn a_copy_from_a_machine_that_went_back(w: &mut World) {
+    w.submit(sub("j-1", "batch", 2), 500_000);
+    w.until("runs", 10_000, |w| w.where_is("j-1/1").is_some());
+    let copies: Vec<_> = (0..2).map(|n| w.report_of(n)).collect();
+    for n in 0..2 {
+        w.workers[n].dead = true;
+        w.workers[n].tasks.clear();
+    }
+    w.store.keys.retain(|k, _| !k.starts_with("t/"));
+    w.records_lost = true;
+    w.elect();
+    for (n, c) in copies.into_iter().enumerate() {
+        w.held.push((w.now + 1_000 * n as u64, Held::Report(c)));
+    }
+    w.run(3_000);
+    w.submit(sub("j-2", "batch", 8), 5_000);
+    w.until("elsewhere, at once", 9_000, |w| w.status("j-2") == Status::Done);
+}
+
+/// Guard: to a new leader, an old copy is the newest report it has of a
+/// machine; it neither frees what came later nor brings back what is over.
+fn an_old_copy_is_the_first_that_a_leader_hears(w: &mut World) {
+    w.run(4_000);
+    w.submit(sub("j-1", "service", 3), 0);
+    let mut s = sub("j-2", "service", 3);
+    s.priority = Some("low".into());
+    w.submit(s, 0);
+    w.until("runs", 10_000, |w| w.where_is("j-1/2").is_some() && w.where_is("j-2/2").is_some());
+    let copies: Vec<_> = (0..w.workers.len()).map(|n| w.report_of(n)).collect();
+    // What those copies show is stopped, lost with a session, or goes elsewhere.
+    assert!(w.cancel("j-1"));
+    let now = w.now;
+    w.workers[0].restart(now);
+    w.workers[3].restart(now);
+    w.run(20_000);
+    w.submit(sub("j-3", "service", 8), 0);
+    w.run(20_000);
+    let before: Vec<_> = (0..8).map(|n| w.where_is(&format!("j-3/{n}"))).collect();
+    w.workers.iter_mut().for_each(|x| x.cut = true);
+    w.elect();
+    for c in copies {
+        w.held.push((w.now, Held::Report(c)));
+    }
+    w.run(2_000);
+    w.workers.iter_mut().for_each(|x| x.cut = false);
+    w.run(LEASE * 2);
+    let after: Vec<_> = (0..8).map(|n| w.where_is(&format!("j-3/{n}"))).collect();
+    assert_eq!(before, after, "what ran goes on where it was");
+    assert!((0..3).all(|n| w.where_is(&format!("j-1/{n}")).is_none()), "cancelled for good");
+    w.until("the rest runs", 20_000, |w| (0..3).all(|n| w.where_is(&format!("j-2/{n}")).is_some()));
+}
+
+/// Guard: a machine whose reports come, but that hears nothing, is noticed: it
+/// gets no new work and goes back, whether it was deaf before or fell deaf.
+fn a_machine_that_hears_nothing(w: &mut World) {
+    (w.capacity, w.silent_ms) = (1, 8_500);
+    for zone in ["a", "b", "a", "b"] {
+        w.add_worker(zone);
+    }
+    w.workers[7].stone = true;
+    w.elect();
+    w.run(12_000);
+    w.submit(sub("j-1", "service", 9), 0);
+    w.until("runs", 12_000, |w| (0..9).all(|n| w.where_is(&format!("j-1/{n}")).is_some()));
+    w.until("deaf from the beginning: handed back", 15_000, |w| w.workers[7].dead);
+    let n = w.where_is("j-1/0").unwrap();
+    let lost: Vec<String> = w.workers[n].tasks.iter().map(|t| t.name.clone()).collect();
+    w.workers[n].stone = true;
+    w.submit(sub("j-2", "batch", 20), 3_000);
+    w.until("all run elsewhere", LEASE + 20_000, |w| lost.iter().all(|t| w.where_is(t).is_some_and(|m| m != n)));
+    w.until("handed back", 60_000, |w| w.workers[n].dead);
+    w.until("nothing waits for it", 60_000, |w| w.status("j-2") == Status::Done);
+}
+
+/// A worker comes back with a new session before anybody missed it.
+fn a_worker_that_is_back_at_once(w: &mut World) {
+    w.submit(sub("j-1", "service", 4), 0);
+    let mut s = sub("j-2", "ensemble", 3);
+    s.one_zone = Some(true);
+    w.submit(s, 0);
+    w.until("runs", 10_000, |w| w.where_is("j-1/3").is_some() && w.where_is("j-2/2").is_some());
+    for n in 0..4 {
+        let now = w.now;
+        w.workers[n].restart(now);
+        if n == 2 {
+            w.elect();
+        }
+        w.run(700);
+    }
+    w.until("all run again", 40_000, |w| {
+        (0..4).all(|n| w.where_is(&format!("j-1/{n}")).is_some())
+            && (0..3).all(|n| w.where_is(&format!("j-2/{n}")).is_some())
+    });
+}
+
+/// A controller comes back within a fraction of a second, again and again, as
+/// the next leader each time: each finds what those before have begun.
+fn leaders_that_follow_one_another_quickly(w: &mut World) {
+    w.weather = Weather { late_do: 30, lost_txn: 30, lost_answer: 20, late_report: 20, ..Weather::default() };
+    w.submit(sub("j-1", "service", 6), 0);
+    w.submit(sub("j-2", "batch", 10), 3_000);
+    for _ in 0..12 {
+        w.elect();
+        w.run(300);
+    }
+    w.weather = Weather::default();
+    w.until("done", 120_000, |w| w.status("j-2") == Status::Done);
+    w.until("runs", 90_000, |w| (0..6).all(|n| w.where_is(&format!("j-1/{n}")).is_some()));
+}
+
+/// Guard: small work takes every machine that is free, so that a large gang
+/// never found all of its own at once; nor did low priority get any.
+fn the_largest_begin_in_time(w: &mut World) {
+    let mut gang = sub("j-1", "ensemble", 4);
+    (gang.cpus, gang.one_zone) = (Some(4.0), Some(true));
+    w.submit(gang, 100_000);
+    let mut low = sub("j-2", "batch", 400);
+    (low.priority, low.cpus) = (Some("low".into()), Some(4.0));
+    w.submit(low, 1_000);
+    // Always more small work than there is room for, a moment earlier.
+    for n in 0..60 {
+        let mut s = sub(&format!("j-{}", 100 + n), "batch", 8);
+        (s.cpus, s.estimate_s) = (Some(4.0), Some(5.0));
+        (s.priority, s.class) = (Some("normal".into()), Some("small".into()));
+        s.deadline_s = Some(900.0);
+        w.submit(s, 7_000);
+        if n < 36 {
+            w.run(4_000);
+        }
+        if n == 30 {
+            assert!(w.starts > 60, "small work runs meanwhile");
+        }
+    }
+    w.until("the gang begins", 240_000 - (w.now - 1_000), |w| {
+        (0..4).all(|n| w.where_is(&format!("j-1/{n}")).is_some())
+    });
+    let began = |w: &World| w.completed.iter().any(|t| t.starts_with("j-2/"));
+    w.until("low priority begins", 245_000 - (w.now - 1_000), began);
+}
+
+/// Guard: orders for one worker may be more than an answer takes.
+fn answers_stay_under_their_limit(w: &mut World) {
+    use shedhook::protocol::{
+        cbor,
+        workers::{Order, ReportAnswer},
+    };
+    let orders: Vec<Order> = (0..5_000)
+        .map(|n| Order::Halt { task: format!("j-00000000000000{n}/100000"), attempt: u64::MAX, grace_s: 10.5 })
+        .collect();
+    let one = |n: usize| cbor::encode(&ReportAnswer { token: u64::MAX, orders: orders[..n].to_vec() }).len();
+    assert!(one(500) * 3 / 2 < 64 * 1024 && one(5_000) > 64 * 1024, "{}", one(500));
+    w.workers.iter_mut().skip(1).for_each(|x| x.dead = true);
+    let mut s = sub("j-1", "batch", 1_200);
+    (s.cpus, s.memory_gb) = (Some(0.001), Some(0.001));
+    w.slots = 5_000;
+    w.submit(s, 500_000);
+    w.until("all run", 60_000, |w| w.starts == 1_200);
+    assert!(w.cancel("j-1"));
+    w.until("all gone", 60_000, |w| w.workers[0].tasks.is_empty());
+    assert!(w.most_orders > 300 && w.most_orders <= 500, "{} orders in one answer", w.most_orders);
+}
+
 #[test]
 fn rules_table() {
     let cases: &[Case] = &[
@@ -434,6 +598,13 @@
         ("large job", a_large_job_stalls_nobody),
         ("old reports", old_reports_change_nothing),
         ("strays", strays_are_adopted),
+        ("ghost", a_copy_from_a_machine_that_went_back),
+        ("old copy first", an_old_copy_is_the_first_that_a_leader_hears),
+        ("deaf", a_machine_that_hears_nothing),
+        ("worker back at once", a_worker_that_is_back_at_once),
+        ("leaders in a row", leaders_that_follow_one_another_quickly),
+        ("the largest", the_largest_begin_in_time),
+        ("answers", answers_stay_under_their_limit),
     ];
     for (n, (name, case)) in cases.iter().enumerate() {
         eprintln!("case: {name}");
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -121,9 +121,26 @@
     pub deaf: bool,
     /// Its reports go nowhere, commands and probes reach it.
     pub mute: bool,
+    /// Its reports come through, but nothing reaches it.
+    pub stone: bool,
+    /// A higher token counts as a change once in half a lease.
+    token_told: Option<Ms>,
 }
 
 impl Worker {
+    /// Can commands and probes reach it?
+    fn is_reached(&self) -> bool {
+        !(self.dead || self.cut || self.hung || self.stone)
+    }
+
+    /// It comes back at once, with a new session and nothing on it.
+    pub fn restart(&mut self, now: Ms) {
+        self.tasks.clear();
+        self.session += 1;
+        self.leased = now;
+        self.changed = true;
+    }
+
     fn report(&mut self) -> Report {
         self.seq += 1;
         Report {
@@ -204,6 +221,8 @@
     pub asked_in: Vec<(u64, String)>,
     /// Machines the cloud still has to give.
     pub capacity: u32,
+    /// There is a cloud: it had machines to give at some time.
+    cloud: bool,
     pub broken: Vec<String>,
     pub starts: usize,
     pub team_gpus_max: f64,
@@ -215,6 +234,10 @@
     /// This case threw records away.
     pub records_lost: bool,
     pub silent_ms: Ms,
+    /// Tasks that a worker takes at once.
+    pub slots: usize,
+    /// Most orders seen in one message.
+    pub most_orders: usize,
 }
 
 /// Small records, so that small jobs have several.
@@ -266,6 +289,7 @@
             asks: HashMap::new(),
             asked_in: Vec::new(),
             capacity: 0,
+            cloud: false,
             broken: Vec::new(),
             starts: 0,
             team_gpus_max: 0.0,
@@ -275,6 +299,8 @@
             halts_seen: Vec::new(),
             records_lost: false,
             silent_ms: 1 << 40,
+            slots: 4,
+            most_orders: 0,
         };
         w.tables.teams.intern("red");
         w.tables.types.intern("m");
@@ -305,6 +331,8 @@
             dead: false,
             deaf: false,
             mute: false,
+            stone: false,
+            token_told: None,
         });
         id
     }
@@ -499,10 +527,7 @@
     fn expire(&mut self, n: usize) {
         let w = &mut self.workers[n];
         if self.now > w.leased + LEASE {
-            w.tasks.clear();
-            w.session += 1;
-            w.leased = self.now;
-            w.changed = true;
+            w.restart(self.now);
         }
     }
 
@@ -520,14 +545,16 @@
         let Answer::Ok(a) = l.report(sent, &r, &self.mirror, &mut self.tables) else { return };
         let id = self.workers[n].id.clone();
         self.judge_orders(&id, &a.orders);
-        if self.workers[n].deaf || self.chance(self.weather.lost_answer) {
+        if self.workers[n].deaf || self.workers[n].stone || self.chance(self.weather.lost_answer) {
             return;
         }
         let w = &mut self.workers[n];
         if a.token < w.token {
             return;
         }
-        w.changed |= a.token > w.token;
+        if a.token > w.token && w.token_told.is_none_or(|t| sent >= t + LEASE / 2) {
+            (w.changed, w.token_told) = (true, Some(sent));
+        }
         w.token = a.token;
         w.leased = sent;
         self.obey(n, &a.orders);
@@ -553,7 +580,7 @@
                     }
                     let live = |t: &&WorkerTask| t.state != TaskState::Exited;
                     let busy = w.tasks.iter().filter(live).any(|t| t.name == *task);
-                    let full = w.tasks.iter().filter(live).count() >= 4;
+                    let full = w.tasks.iter().filter(live).count() >= self.slots;
                     let (state, why) = match (busy, full) {
                         (true, _) => (TaskState::Exited, Some(Why::Busy)),
                         (_, true) => (TaskState::Exited, Some(Why::NoRoom)),
@@ -593,6 +620,7 @@
 
     /// Our own rule: no launch is sent before the place is written.
     fn judge_orders(&mut self, worker: &str, orders: &[Order]) {
+        self.most_orders = self.most_orders.max(orders.len());
         for o in orders {
             let Order::Launch { task, attempt } = o else { continue };
             if !self.is_written(task, worker, *attempt) {
@@ -687,7 +715,8 @@
             l.job_update(now, now, ix, &self.mirror);
         }
         l.sweep(now);
-        if self.capacity > 0 {
+        self.cloud |= self.capacity > 0;
+        if self.cloud {
             l.fleet_step(now, &self.tables);
         }
         l.pass(now);
@@ -759,17 +788,14 @@
                 let id = self.leader.as_ref().map(|l| l.machine(machine).id.clone()).unwrap_or_default();
                 let Some(n) = self.workers.iter().position(|w| w.id == id) else { return };
                 self.judge_orders(&id, &req.orders);
-                if !self.workers[n].dead
-                    && !self.workers[n].cut
-                    && !self.workers[n].hung
-                    && self.chance(self.weather.slow_do)
-                {
+                let reached = self.workers[n].is_reached();
+                if reached && self.chance(self.weather.slow_do) {
                     let stamp = self.leader.as_ref().map_or(0, |l| l.stamp);
                     let at = now + self.rng.random_range(300..1_900);
                     self.held.push((at, Held::SlowDo { worker: n, req, machine, call, stamp }));
                     return;
                 }
-                let out = if self.workers[n].dead || self.workers[n].cut || self.workers[n].hung {
+                let out = if !reached {
                     if self.workers[n].hung {
                         self.held.push((now + 1_000, Held::Do { worker: n, req }));
                     }
@@ -816,7 +842,7 @@
             }
             Effect::Probe { machine, .. } => {
                 let id = self.leader.as_ref().map(|l| l.machine(machine).id.clone()).unwrap_or_default();
-                let w = self.workers.iter_mut().find(|w| w.id == id && !(w.dead || w.cut || w.hung));
+                let w = self.workers.iter_mut().find(|w| w.id == id && w.is_reached());
                 let report = w.map(Worker::report);
                 if let Some(l) = &mut self.leader {
                     l.probed(now, machine, report.as_ref(), &self.mirror, &mut self.tables);
@@ -865,20 +891,11 @@
     }
 
     /// What a worker last could have reported.
-    pub fn report_of(&self, n: usize) -> Report {
-        let w = &self.workers[n];
-        Report {
-            machine: w.id.clone(),
-            addr: "127.0.0.1:9".into(),
-            machine_type: "m".into(),
-            zone: w.zone.clone(),
-            spot: w.spot,
-            session: w.session,
-            seq: w.seq,
-            token: w.token,
-            notice_s: None,
-            tasks: Vec::new(),
-        }
+    pub fn report_of(&mut self, n: usize) -> Report {
+        let seq = self.workers[n].seq;
+        let report = self.workers[n].report();
+        self.workers[n].seq = seq;
+        Report { seq, ..report }
     }
 
     /// Where a task is, by worker number.
