--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -11,16 +11,14 @@
     bookkeeping::{mirror::JobIx, records::Status},
     protocol::{
         cloud::{HostList, HostState, RentRequest},
-        jobs::{JobSpec, Kind, Priority},
-        names::{ClassIx, Tables, TypeIx, ZoneIx},
+        jobs::Kind,
+        names::{Tables, TypeIx, ZoneIx},
     },
 };
 
 const THINK_MS: Ms = 250;
 const LIST_MS: Ms = 2_500;
 const RETURN_MS: Ms = 400;
-const REFUSED_MS: Ms = 6_000;
-const REFUSED_MAX_MS: Ms = 25_000;
 /// Nothing waited for room for this long.
 const QUIET_MS: Ms = 12_000;
 /// Idle machines are kept for this many times what getting them again takes.
@@ -30,12 +28,12 @@
 /// Paid for a machine, against what its replicas would cost on fitting ones.
 const DEAR: f64 = 3.0;
 const CONSOLIDATE_MS: Ms = 2_000;
-const RENTS_A_STEP: usize = 4;
 
-type Offer = (TypeIx, ZoneIx, bool);
+/// A type, a zone, and whether spot.
+pub(super) type Offer = (TypeIx, ZoneIx, bool);
 
 #[derive(Debug)]
-enum Call {
+pub(super) enum Call {
     Rent { offer: Offer, req: RentRequest },
     Return(Vec<MachineIx>),
     List,
@@ -45,10 +43,10 @@
 pub struct Fleet {
     nonce: u64,
     asks: u64,
-    calls: HashMap<u64, Call>,
+    pub(super) calls: HashMap<u64, Call>,
     /// Rent requests that went unanswered: the same again until it is known.
-    again: Vec<(Offer, RentRequest, Ms)>,
-    refused: HashMap<Offer, (Ms, Ms)>,
+    pub(super) again: Vec<(Offer, RentRequest, Ms)>,
+    pub(super) refused: HashMap<Offer, (Ms, Ms)>,
     pub unmet: Vec<(JobIx, u32)>,
     next_list: Ms,
     next_think: Ms,
@@ -94,18 +92,12 @@
 
     /// Request names carry this leadership's random number: never used twice,
     /// by no controller.
-    fn ask(&mut self) -> String {
+    pub(super) fn ask(&mut self) -> String {
         self.asks += 1;
         format!("r-{:016x}-{}", self.nonce, self.asks)
     }
 }
 
-/// A machine that is not up yet, as far as its room goes.
-struct Coming {
-    offer: Offer,
-    free: Res,
-}
-
 impl Leader {
     pub fn fleet_step(&mut self, now: Ms, tables: &Tables) {
         if now >= self.fleet.next_list && !self.fleet.calls.values().any(|c| matches!(c, Call::List)) {
@@ -448,224 +440,4 @@
             }
         }
     }
-
-    // ---- renting -------------------------------------------------------
-
-    fn rent(&mut self, now: Ms, tables: &Tables) {
-        let again: Vec<_> = std::mem::take(&mut self.fleet.again);
-        for (offer, req, at) in again {
-            if now >= at {
-                self.send_rent(offer, req);
-            } else {
-                self.fleet.again.push((offer, req, at));
-            }
-        }
-        // Without a list, what is already there isn't known; and where there
-        // are machines, they get time to report first.
-        let settle = if self.machines.is_empty() { 0 } else { 1_500 };
-        if !self.fleet.listed_once || now < self.started + settle {
-            return;
-        }
-        let mut coming = self.coming(now);
-        let mut total = self.machines.iter().filter(|m| !matches!(m.life, Life::Gone | Life::Returning)).count()
-            + self.pending_rents();
-        let mut wanted: Vec<(Offer, u32)> = Vec::new();
-        // A large machine is cheap for many small jobs together, though not
-        // for one of them: what waits of a class is counted as a whole.
-        let mut of_class: HashMap<ClassIx, u32> = HashMap::new();
-        for (ix, n) in &self.fleet.unmet {
-            if let Some(job) = self.job(*ix) {
-                *of_class.entry(job.spec.class).or_default() += n;
-            }
-        }
-        for (ix, n) in self.fleet.unmet.clone() {
-            let Some(job) = self.job(ix) else { continue };
-            let spec = job.spec.clone();
-            let need = Res::of(&spec);
-            let held = &job.zone_used[..];
-            // Boot times vary widely: for replicas more room is ordered than
-            // they need, so that those that come up first hold them all. Others'
-            // work takes what is left over.
-            let mut left = if spec.kind == Kind::Service { 2 * n } else { n };
-            for c in &mut coming {
-                if left == 0 {
-                    break;
-                }
-                if Leader::offer_allows(&c.offer, &spec, held) {
-                    let k = need.times_in(&c.free).min(left);
-                    for _ in 0..k {
-                        c.free -= need;
-                    }
-                    left -= k;
-                }
-            }
-            let waited_s = (now as i64 - job.waiting_since as i64) as f64 / 1000.0;
-            let mut tries = 0;
-            while left > 0 && tries < 6 && total < self.cfg.max_machines {
-                tries += 1;
-                let alike = of_class.get(&spec.class).copied().unwrap_or(0).max(left);
-                let Some((offer, per)) = self.choose(now, &spec, held, alike, waited_s) else { break };
-                let count = left.div_ceil(per).min(16).min((self.cfg.max_machines - total) as u32);
-                let Some(cap) = self.types.iter().find(|t| t.ix == offer.0).map(|t| t.cap) else { break };
-                for _ in 0..count {
-                    let mut free = cap;
-                    let k = per.min(left);
-                    for _ in 0..k {
-                        free -= need;
-                    }
-                    left -= k;
-                    coming.push(Coming { offer, free });
-                }
-                total += count as usize;
-                match wanted.iter_mut().find(|(o, _)| *o == offer) {
-                    Some((_, c)) => *c += count,
-                    None => wanted.push((offer, count)),
-                }
-                if wanted.len() >= RENTS_A_STEP {
-                    break;
-                }
-            }
-        }
-        for (offer, count) in wanted.into_iter().take(RENTS_A_STEP) {
-            let req = RentRequest {
-                request: self.fleet.ask(),
-                machine_type: tables.types.name(offer.0 .0).to_owned(),
-                zone: tables.zones.name(offer.1 .0).to_owned(),
-                spot: offer.2,
-                count: count.min(50),
-            };
-            self.send_rent(offer, req);
-        }
-    }
-
-    fn pending_rents(&self) -> usize {
-        let calls = self.fleet.calls.values().map(|c| match c {
-            Call::Rent { req, .. } => req.count as usize,
-            _ => 0,
-        });
-        calls.sum::<usize>() + self.fleet.again.iter().map(|(_, r, _)| r.count as usize).sum::<usize>()
-    }
-
-    fn send_rent(&mut self, offer: Offer, req: RentRequest) {
-        let call = self.call_id();
-        tracing::info!(
-            ask = &*req.request,
-            machine_type = &*req.machine_type,
-            zone = &*req.zone,
-            spot = req.spot,
-            count = req.count,
-            "renting"
-        );
-        self.fleet.calls.insert(call, Call::Rent { offer, req: req.clone() });
-        self.effects.push(Effect::Rent { call, req });
-    }
-
-    fn coming(&self, now: Ms) -> Vec<Coming> {
-        let mut out = Vec::new();
-        for m in &self.machines {
-            let Some(t) = self.type_of(m) else { continue };
-            // Far past its boot time, a machine is no longer counted on.
-            let late = (now.saturating_sub(m.rented)) as f64 > t.boot_s * 2_000.0 + 5_000.0;
-            if m.life == Life::Booting && m.places.is_empty() && !late {
-                out.push(Coming { offer: (t.ix, m.zone, m.spot), free: t.cap });
-            }
-        }
-        let asked = self.fleet.calls.values().filter_map(|c| match c {
-            Call::Rent { offer, req } => Some((*offer, req.count)),
-            _ => None,
-        });
-        for (offer, count) in asked.chain(self.fleet.again.iter().map(|(o, r, _)| (*o, r.count))) {
-            if let Some(t) = self.types.iter().find(|t| t.ix == offer.0) {
-                for _ in 0..count {
-                    out.push(Coming { offer, free: t.cap });
-                }
-            }
-        }
-        out
-    }
-
-    /// `held`: the job's places by zone, if it restricts zones.
-    fn offer_allows(offer: &Offer, spec: &JobSpec, held: &[u32]) -> bool {
-        if !spec.allows_type(offer.0) || spec.zone.is_some_and(|z| z != offer.1) || (offer.2 && !spec.spot) {
-            return false;
-        }
-        let here = held.get(offer.1.at()).copied().unwrap_or(0);
-        let elsewhere = held.iter().sum::<u32>() - here;
-        (!spec.spread || here < spec.zone_cap()) && (!spec.one_zone || elsewhere == 0)
-    }
-
-    /// The cheapest offer for what is left, and how many tasks one machine of it takes.
-    fn choose(&self, now: Ms, spec: &JobSpec, held: &[u32], left: u32, waited_s: f64) -> Option<(Offer, u32)> {
-        let need = Res::of(spec);
-        let mut cheapest = f64::INFINITY;
-        let mut best: Option<(f64, Offer, u32)> = None;
-        for t in &self.types {
-            let per = need.times_in(&t.cap);
-            if per == 0 || !spec.allows_type(t.ix) {
-                continue;
-            }
-            for &z in &t.zones {
-                for spot in [false, true] {
-                    if spot && !(spec.spot && self.cfg.use_spot) {
-                        continue;
-                    }
-                    let offer = (t.ix, z, spot);
-                    if !Leader::offer_allows(&offer, spec, held) {
-                        continue;
-                    }
-                    let slots = f64::from(per.min(left.max(1)));
-                    let ready = t.boot_s + spec.image_gb / t.fetch_gb_per_s.max(0.01);
-                    let cost = t.price_of(spot) / slots * (1.0 + ready / 120.0);
-                    cheapest = cheapest.min(cost);
-                    let open = self.fleet.refused.get(&offer).is_none_or(|(until, _)| now >= *until);
-                    if open && best.as_ref().is_none_or(|b| cost < b.0) {
-                        best = Some((cost, offer, per));
-                    }
-                }
-            }
-        }
-        let (cost, offer, per) = best?;
-        // Much dearer than the cheapest kind: only for urgent work, or work
-        // that has waited.
-        let urgency = match spec.priority {
-            Priority::Production => 5.0,
-            Priority::High => 3.0,
-            Priority::Normal => 1.8,
-            Priority::Low => 1.5,
-        };
-        (cost <= cheapest * (urgency + waited_s)).then_some((offer, per))
-    }
-
-    pub fn rented(&mut self, now: Ms, call: u64, outcome: RentOutcome) {
-        let Some(Call::Rent { offer, req }) = self.fleet.calls.remove(&call) else { return };
-        match outcome {
-            RentOutcome::Rented(ids) => {
-                if (ids.len() as u32) < req.count {
-                    self.fleet.refused.insert(offer, (now + REFUSED_MS, REFUSED_MS));
-                } else {
-                    self.fleet.refused.remove(&offer);
-                }
-                for id in ids {
-                    let ix = self.machine_named(now, &id, offer.1);
-                    let m = &mut self.machines[ix.at()];
-                    m.ty = m.ty.or(Some(offer.0));
-                    m.spot = offer.2;
-                    m.zone = offer.1;
-                    if m.life == Life::Booting {
-                        m.rented = now;
-                    }
-                }
-            }
-            RentOutcome::NoCapacity => {
-                let wait = self.fleet.refused.get(&offer).map_or(REFUSED_MS, |(_, w)| (w * 3 / 2).min(REFUSED_MAX_MS));
-                self.fleet.refused.insert(offer, (now + wait, wait));
-            }
-            // Guard: the same name again, so that it can't be rented twice.
-            RentOutcome::Again => self.fleet.again.push((offer, req, now + 1_500)),
-            RentOutcome::Malformed => {
-                tracing::error!(ask = &*req.request, "the cloud calls a rental malformed");
-                self.fleet.refused.insert(offer, (now + REFUSED_MAX_MS, REFUSED_MAX_MS));
-            }
-        }
-    }
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,4 +7,5 @@
 pub mod pass;
 pub mod picture;
 pub mod preemption;
+pub mod rent;
 pub mod trial;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -56,27 +56,46 @@
 
 /// Guard: a launch that went unanswered may arrive until the worker has shown
 /// the raised token; that it lists no such task until then proves nothing.
-fn preempted_with_the_launch_in_flight(w: &mut World) {
-    w.workers.iter_mut().skip(1).for_each(|x| x.dead = true);
+fn a_gang_is_lost_with_a_launch_in_flight(w: &mut World) {
+    w.workers.iter_mut().skip(2).for_each(|x| x.dead = true);
     w.run(5_000);
-    let mut s = sub("j-1", "service", 1);
-    s.priority = Some("low".into());
     w.weather = Weather { late_do: 100, ..Weather::default() };
+    let mut s = sub("j-1", "ensemble", 2);
+    s.cpus = Some(8.0);
     w.submit(s, 0);
     w.run(200);
-    assert_eq!(w.held.len(), 1, "the launch is on its way");
-    let at = w.now + 15_000;
-    w.held.iter_mut().for_each(|h| h.0 = at);
+    assert_eq!(w.held.len(), 2, "both launches are on their way");
+    let now = w.now;
+    for (at, h) in &mut w.held {
+        *at = now + if matches!(h, Held::Do { worker: 0, .. }) { 15_000 } else { 100 };
+    }
     w.weather = Weather::default();
     w.workers[0].deaf = true;
-    let mut s = sub("j-2", "ensemble", 1);
-    (s.priority, s.cpus) = (Some("high".into()), Some(8.0));
-    w.submit(s, 0);
-    w.run(1_000);
+    w.run(2_000);
+    // The other one is lost: the gang stops, and starts anew when all of it is gone.
+    w.workers[1].restart(now + 2_000);
     w.add_worker("b");
+    w.add_worker("a");
     w.run(20_000);
     w.workers[0].deaf = false;
-    w.run(60_000);
+    w.until("runs", 60_000, |w| w.where_is("j-1/0").is_some() && w.where_is("j-1/1").is_some());
+}
+
+/// Guard: nothing is launched before its record is written, neither by a
+/// command nor in the answer to a report; a gang only after all of its records.
+fn nothing_starts_while_records_cannot_be_written(w: &mut World) {
+    w.run(5_000);
+    w.txns_left = Some(1);
+    let mut s = sub("j-1", "ensemble", 40);
+    (s.cpus, s.memory_gb) = (Some(0.5), Some(0.5));
+    w.slots = 40;
+    w.submit(s, 5_000);
+    w.run(10_000);
+    w.submit(sub("j-2", "batch", 4), 5_000);
+    w.run(10_000);
+    assert!(w.txns > 2 && w.workers.iter().all(|x| x.tasks.is_empty()), "launched before it was written");
+    w.txns_left = None;
+    w.until("done", 60_000, |w| w.status("j-1") == Status::Done && w.status("j-2") == Status::Done);
 }
 
 /// Guard: a repeat of a command that was carried out comes after its task was
@@ -88,6 +107,7 @@
     s.priority = Some("low".into());
     w.submit(s, 0);
     w.until("runs", 10_000, |w| w.where_is("j-1/0").is_some());
+    assert!(!w.held.is_empty(), "launched by a command, of which a copy is under way");
     let at = w.now + 30_000;
     w.held.iter_mut().for_each(|h| h.0 = at);
     w.weather = Weather::default();
@@ -97,6 +117,7 @@
     w.submit(s, 0);
     w.run(10_000);
     assert!(w.where_is("j-1/0").is_none(), "stopped for the other");
+    w.fetch = 0;
     w.add_worker("a");
     w.until("elsewhere", 15_000, |w| w.where_is("j-1/0").is_some_and(|m| m != n));
     w.run(40_000);
@@ -549,6 +570,27 @@
     w.until("low priority begins", 245_000 - (w.now - 1_000), began);
 }
 
+/// Guard: machines were rented without end in one zone for a gang that must be
+/// over two; and half in each for one that must be in one.
+fn machines_come_in_the_zones_that_need_them(w: &mut World) {
+    w.capacity = 20;
+    for x in w.workers.iter_mut().filter(|x| x.zone == "b") {
+        x.dead = true;
+    }
+    w.run(LEASE + 3_000);
+    let mut s = sub("j-1", "ensemble", 3);
+    (s.cpus, s.spread) = (Some(8.0), Some(true));
+    w.submit(s, 0);
+    w.until("over two zones", 30_000, |w| (0..3).all(|n| w.where_is(&format!("j-1/{n}")).is_some()));
+    w.run(10_000);
+    let mut s = sub("j-2", "ensemble", 4);
+    (s.cpus, s.one_zone) = (Some(8.0), Some(true));
+    w.submit(s, 0);
+    w.until("in one", 30_000, |w| (0..4).all(|n| w.where_is(&format!("j-2/{n}")).is_some()));
+    w.run(10_000);
+    assert!(w.workers.len() <= 4 + 8, "{} machines", w.workers.len());
+}
+
 /// Guard: orders for one worker may be more than an answer takes.
 fn answers_stay_under_their_limit(w: &mut World) {
     use shedhook::protocol::{
@@ -578,7 +620,8 @@
         ("crash after the write", crash_after_the_write),
         ("late command, worker moved on", a_late_command_to_a_worker_that_moved_on),
         ("late command, hung worker", a_late_command_to_a_hung_worker),
-        ("preempted, launch in flight", preempted_with_the_launch_in_flight),
+        ("gang lost, launch in flight", a_gang_is_lost_with_a_launch_in_flight),
+        ("records can't be written", nothing_starts_while_records_cannot_be_written),
         ("repeated command", a_repeated_command_after_the_reap),
         ("session seen by a probe", a_new_session_seen_by_a_probe),
         ("cut worker", a_worker_that_is_cut_off_goes_on),
@@ -604,6 +647,7 @@
         ("worker back at once", a_worker_that_is_back_at_once),
         ("leaders in a row", leaders_that_follow_one_another_quickly),
         ("the largest", the_largest_begin_in_time),
+        ("zones of rentals", machines_come_in_the_zones_that_need_them),
         ("answers", answers_stay_under_their_limit),
     ];
     for (n, (name, case)) in cases.iter().enumerate() {
@@ -619,10 +663,14 @@
 /// once the weather clears all arrays are done.
 #[test]
 fn bad_weather() {
-    for seed in 0..24 {
+    for seed in 0..32 {
         let mut w = World::new(seed, 6);
         w.team_gpus_max = 8.0;
-        w.capacity = 4;
+        w.capacity = 12;
+        w.fetch = [200, 1_000][w.any(2)];
+        if seed % 2 == 0 {
+            w.silent_ms = 8_500; // silent and deaf machines go back
+        }
         w.weather = Weather {
             late_do: 10,
             lost_do: 5,
@@ -646,12 +694,17 @@
             w.submit(s, run);
             for _ in 0..3 {
                 let at = w.any(w.workers.len());
-                match w.any(12) {
+                match w.any(14) {
                     0 => w.workers[at].cut = true,
                     1 => w.workers[at].hung = true,
-                    2 | 3 => w.workers.iter_mut().for_each(|x| (x.cut, x.hung) = (false, false)),
+                    2 | 3 => w.workers.iter_mut().for_each(|x| (x.cut, x.hung, x.stone) = (false, false, false)),
                     4 => w.elect(),
                     5 => w.leader = None,
+                    7 => w.workers[at].stone = true,
+                    8 => {
+                        let now = w.now;
+                        w.workers[at].restart(now);
+                    }
                     6 if n > 2 => {
                         let id = format!("j-{}", w.any(n as usize));
                         w.cancel(&id);
@@ -666,7 +719,8 @@
         }
         w.check(&format!("seed {seed}"));
         w.weather = Weather::default();
-        w.workers.iter_mut().for_each(|x| (x.cut, x.hung) = (false, false));
+        w.capacity = 12;
+        w.workers.iter_mut().for_each(|x| (x.cut, x.hung, x.stone) = (false, false, false));
         w.elect();
         for n in 0..12 {
             let id = format!("j-{n}");
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -100,6 +100,13 @@
     since: Ms,
 }
 
+impl WorkerTask {
+    /// On its machine, as the rules count it.
+    fn is_there(&self) -> bool {
+        matches!(self.state, TaskState::Running | TaskState::Waiting)
+    }
+}
+
 pub struct Worker {
     pub id: String,
     pub zone: String,
@@ -230,12 +237,16 @@
     pub die_before_txn: bool,
     pub die_after_txn: bool,
     pub txns: usize,
+    /// The state service takes so many transactions more, then it is away.
+    pub txns_left: Option<u32>,
     pub halts_seen: Vec<(Ms, String, f64)>,
     /// This case threw records away.
     pub records_lost: bool,
     pub silent_ms: Ms,
     /// Tasks that a worker takes at once.
     pub slots: usize,
+    /// How long an image takes.
+    pub fetch: Ms,
     /// Most orders seen in one message.
     pub most_orders: usize,
 }
@@ -296,10 +307,12 @@
             die_before_txn: false,
             die_after_txn: false,
             txns: 0,
+            txns_left: None,
             halts_seen: Vec::new(),
             records_lost: false,
             silent_ms: 1 << 40,
             slots: 4,
+            fetch: FETCH,
             most_orders: 0,
         };
         w.tables.teams.intern("red");
@@ -496,7 +509,7 @@
             let task = self.workers[n].tasks[t].clone();
             let Some(run) = self.facts(&task.name).map(|f| f.run_ms) else { continue };
             let (state, why) = match task.state {
-                TaskState::Fetching if now >= task.since + FETCH => {
+                TaskState::Fetching if now >= task.since + self.fetch => {
                     if self.completed.contains(&task.name) {
                         (TaskState::Exited, Some(Why::Done))
                     } else {
@@ -538,7 +551,7 @@
             return;
         }
         if self.chance(self.weather.late_report) {
-            let at = sent + self.rng.random_range(1_000..60_000);
+            let at = sent + self.rng.random_range(1_000..120_000);
             self.held.push((at, Held::Report(r.clone())));
         }
         let Some(l) = &mut self.leader else { return };
@@ -630,7 +643,7 @@
     }
 
     fn holds(w: &Worker, task: &str) -> bool {
-        !w.dead && w.tasks.iter().any(|t| t.name == task && matches!(t.state, TaskState::Running | TaskState::Waiting))
+        !w.dead && w.tasks.iter().any(|t| t.name == task && t.is_there())
     }
 
     fn judge_start(&mut self, n: usize, task: &str) {
@@ -646,7 +659,7 @@
         let mut zones: HashMap<&str, u32> = HashMap::new();
         for w in self.workers.iter().filter(|w| !w.dead) {
             for t in &w.tasks {
-                if t.name != task && split_task(&t.name).is_some_and(|s| s.0 == job) && World::holds(w, &t.name) {
+                if t.name != task && t.is_there() && split_task(&t.name).is_some_and(|s| s.0 == job) {
                     *zones.entry(&w.zone).or_default() += 1;
                 }
             }
@@ -756,6 +769,13 @@
             self.leader = None;
             return;
         }
+        if self.txns_left == Some(0) {
+            if let Some(l) = &mut self.leader {
+                l.committed(now, CommitOutcome::Refused);
+            }
+            return;
+        }
+        self.txns_left = self.txns_left.map(|n| n - 1);
         if self.chance(self.weather.lost_txn) {
             if self.rng.random_range(0..2) == 0 {
                 let _ = self.store.apply(&txn);
