--- a/src/coordination/rent.rs
+++ b/src/coordination/rent.rs
@@ -166,7 +166,8 @@
     fn by_zone(&self, spec: &JobSpec, held: &[u32], n: u32, coming: &Arrivals) -> Vec<(Option<ZoneIx>, u32)> {
         let ordered = if spec.kind == Kind::Service { 2 * n } else { n };
         let gang = spec.kind == Kind::Gang;
-        if !spec.spread && !(spec.one_zone && gang && n > 1) {
+        let one_zone_gang = spec.one_zone && gang && n > 1;
+        if !(spec.spread || one_zone_gang) {
             return vec![(None, ordered)];
         }
         let need = Res::of(spec);
