--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -5,6 +5,7 @@
 
 use shedhook::{
     bookkeeping::records::Status,
+    coordination::picture::LOOK,
     protocol::workers::{TaskReport, TaskState},
 };
 use world::{sub, Held, Weather, World, LEASE};
@@ -733,3 +734,71 @@
         w.check(&format!("seed {seed}, afterwards"));
     }
 }
+
+/// The size of the grown deployments.
+const MACHINES: usize = 2_000;
+const SERVICES: usize = 60;
+const ARRAYS: usize = 100;
+
+/// Work is counted in machines looked at and records written, not by the clock.
+///
+/// Guard: each pass, report and sweep looked at every machine, place and job;
+/// every end rewrote its job's record; fixed shares of the writes left half of
+/// them unused while submissions were refused.
+#[test]
+fn two_thousand_machines_and_five_controllers() {
+    let mut w = World::new(3, MACHINES);
+    w.limit_writes(35.0, 5);
+    (w.chunk, w.vary) = (64, 700);
+    w.elect();
+    w.run(8_000);
+    let looked = |w: &World| w.leader.as_ref().unwrap().picture.looked;
+    let written = |w: &World| w.writes.as_ref().unwrap().written;
+    assert_eq!((looked(&w), written(&w)), (0, 0), "nobody asked for anything");
+
+    // Two jobs a second, ten in a row at one controller.
+    let (mut refused, mut tasks, began) = (0, 0, w.now);
+    for n in 0..SERVICES + ARRAYS {
+        let (id, service) = (format!("j-{n}"), n % 8 < 3);
+        let (kind, size, run) = if service { ("service", 8, 0) } else { ("batch", 20 + (n % 40) as u32, 3_000) };
+        let mut s = sub(&id, kind, size);
+        s.spread = Some(service);
+        s.priority = Some(if service { "prod" } else { "low" }.into());
+        tasks += size as usize;
+        while !w.submit_at(n / 10 % 5, s.clone(), run) {
+            refused += 1;
+            w.run(1_000);
+        }
+        w.run(if n % 10 == 9 { 4_000 } else { 100 });
+    }
+    let over =
+        |w: &World| (0..SERVICES + ARRAYS).filter(|n| n % 8 >= 3).all(|n| w.status(&format!("j-{n}")) == Status::Done);
+    w.until("all arrays are done", 60_000, over);
+    assert!(refused <= 3, "{refused} submissions refused at a fifteenth of the limit");
+    assert!(w.writes.as_ref().unwrap().refused == 0, "the service itself refused");
+    // A task is looked for on a sample, whatever the number of machines; most
+    // find their place beside another of their job.
+    let per_task = looked(&w) / tasks as u64;
+    assert!(per_task <= 2 * LOOK as u64, "{per_task} machines looked at for a task");
+    // Submitted, placed, some ends, done, dropped: not a write for each task.
+    let per_job = written(&w) as f64 / (SERVICES + ARRAYS) as f64;
+    assert!(per_job < 7.0, "{per_job} writes a job");
+
+    // Reports and sweeps that change nothing cost nothing of either.
+    w.run(250_000);
+    let before = (looked(&w), written(&w));
+    w.run(30_000);
+    assert_eq!((looked(&w), written(&w)), before, "nothing happened");
+
+    // A new leader hears two thousand workers anew: nothing moves.
+    let starts = w.starts;
+    w.elect();
+    w.run(20_000);
+    assert_eq!(w.starts, starts, "nothing starts anew");
+    assert!(w.where_is("j-0/7").is_some());
+    let n = w.where_is("j-0/0").unwrap();
+    w.workers[n].dead = true;
+    w.until("the dead machine's replica runs elsewhere", 60_000, |w| w.where_is("j-0/0").is_some_and(|m| m != n));
+    assert!(looked(&w) < 20_000, "{} machines looked at for a few replicas", looked(&w));
+    w.check("two thousand machines");
+}
