--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -757,7 +757,7 @@
     assert_eq!((looked(&w), written(&w)), (0, 0), "nobody asked for anything");
 
     // Two jobs a second, ten in a row at one controller.
-    let (mut refused, mut tasks, began) = (0, 0, w.now);
+    let (mut refused, mut tasks) = (0, 0);
     for n in 0..SERVICES + ARRAYS {
         let (id, service) = (format!("j-{n}"), n % 8 < 3);
         let (kind, size, run) = if service { ("service", 8, 0) } else { ("batch", 20 + (n % 40) as u32, 3_000) };
