--- a/src/coordination/leader/commits.rs
+++ b/src/coordination/leader/commits.rs
@@ -242,9 +242,17 @@
 
     fn applied(&mut self, now: Ms, f: Flying, epoch: u64) {
         let mut told: Vec<MachineIx> = Vec::new();
+        self.written_since.txns += 1;
+        self.written_since.dones += f.dones.len() as u32;
+        self.written_since.drops += f.drops.len() as u32;
         for &(ix, c, ver) in &f.chunks {
             match self.job_mut(ix) {
                 Some(job) => {
+                    let (placed, since) = (job.chunks[c].urgent > job.chunks[c].committed, job.last_placed);
+                    let w = &mut self.written_since;
+                    *(if placed { &mut w.places } else { &mut w.ends }) += 1;
+                    w.waited_ms += if placed { now.saturating_sub(since) } else { 0 };
+                    let Some(job) = self.job_mut(ix) else { continue };
                     job.chunks[c].committed = job.chunks[c].committed.max(ver);
                     job.chunks[c].stamp = epoch;
                     job.unwritten_since = None;
--- a/src/coordination/leader/leases.rs
+++ b/src/coordination/leader/leases.rs
@@ -4,6 +4,8 @@
 
 /// Machines are looked over this often for what only time tells.
 const SWEEP_MS: Ms = 250;
+/// How often the logs get a summary.
+const SUMMARY_MS: Ms = 10_000;
 
 impl Leader {
     /// What only time tells: leases that ran out, reports that are overdue,
@@ -24,6 +26,42 @@
             self.note_idle(now, ix);
             self.refresh(now, ix);
         }
+        if now >= self.next_summary {
+            self.next_summary = now + SUMMARY_MS;
+            self.summarize();
+        }
+    }
+
+    /// For the logs: what there is, what of it is in use, what waits, and what
+    /// was written since the last time.
+    fn summarize(&mut self) {
+        let (mut cap, mut free, mut closed) = (Res::default(), Res::default(), 0);
+        for p in &self.picture.pools {
+            cap += p.cap * p.members.len() as f64;
+            for h in p.members.iter().filter_map(|&n| self.picture.hosts.get(n as usize)) {
+                free += h.free.max0();
+                closed += u32::from(!h.open);
+            }
+        }
+        let w = std::mem::take(&mut self.written_since);
+        let writing_ms = w.waited_ms / u64::from(w.places.max(1));
+        tracing::info!(
+            up = self.picture.pools.iter().map(|p| p.members.len()).sum::<usize>(),
+            closed,
+            cpus = cap.cpus.round(),
+            cpus_free = free.cpus.round(),
+            gpus = cap.gpus.round(),
+            gpus_free = free.gpus.round(),
+            jobs = self.active.len(),
+            waiting = self.fleet.unmet.len(),
+            txns = w.txns,
+            placements = w.places,
+            ends = w.ends,
+            dones = w.dones,
+            drops = w.drops,
+            writing_ms,
+            "summary"
+        );
     }
 
     fn note_idle(&mut self, now: Ms, ix: MachineIx) {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -128,6 +128,18 @@
     resync: Vec<String>,
 }
 
+/// For the logs: records written since the last summary, by what for, and how
+/// long places waited for theirs in all.
+#[derive(Debug, Default)]
+struct Written {
+    txns: u32,
+    places: u32,
+    ends: u32,
+    dones: u32,
+    drops: u32,
+    waited_ms: u64,
+}
+
 pub struct Leader {
     pub cfg: Config,
     pub stamp: u64,
@@ -164,6 +176,8 @@
     /// Machines that something may have to be told, and when to look.
     wake: BTreeSet<(Ms, MachineIx)>,
     next_sweep: Ms,
+    next_summary: Ms,
+    written_since: Written,
     pub gpu_shapes: Vec<(Rc<JobSpec>, Ms, i64)>,
     /// Observed run time against the owner's estimate, by class, smoothed.
     pub class_bias: HashMap<ClassIx, (f64, f64)>,
@@ -184,6 +198,8 @@
             cursor: 0,
             wake: BTreeSet::new(),
             next_sweep: now,
+            next_summary: now + 10_000,
+            written_since: Written::default(),
             cfg,
             stamp,
             clock: now,
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -191,7 +191,8 @@
                 n = n.min((spec.tasks / DUE_PART).max(1) as usize);
             }
             if n == 0 || (gang && n < job.pending.len()) {
-                continue; // its team's limit
+                tracing::debug!(job = &*job.id, room, "at its team's limit");
+                continue;
             }
             let tasks: Vec<u32> = job.pending.iter().rev().take(n).copied().collect();
             let min = if gang { n } else { 1 };
@@ -298,6 +299,7 @@
     fn make_room(&mut self, now: Ms, ix: JobIx, tasks: &[u32], failed: &mut Failed) {
         let Some(job) = self.job(ix) else { return };
         let spec = job.spec.clone();
+        let spec_id = job.id.clone();
         let gang = spec.kind == Kind::Gang;
         let within = job.within;
         let patient = spec.priority <= Priority::Normal && !within;
@@ -327,6 +329,7 @@
             return;
         }
         let made = self.evict(now, ix, need);
+        tracing::debug!(job = &*spec_id, need = need.len(), tasks = tasks.len(), made, "room asked for");
         if let Some(j) = self.job_mut(ix) {
             j.evict_at = now + if made { 1_000 } else { 2_000 };
         }
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -4,7 +4,10 @@
 use super::{leader::Leader, model::*, pass::is_overdue};
 use crate::{
     bookkeeping::{mirror::JobIx, records::Status},
-    protocol::jobs::{Kind, Priority},
+    protocol::{
+        jobs::{Kind, Priority},
+        names::ZoneIx,
+    },
 };
 
 /// Tasks of one array for which room is made in one pass.
@@ -15,6 +18,14 @@
 
 const BORROW_PATIENCE_MS: i64 = 12_000;
 
+/// Machines for so many tasks, and the places to be stopped there.
+#[derive(Default)]
+struct Plan {
+    cost: f64,
+    picks: Vec<usize>,
+    halts: Vec<PlaceIx>,
+}
+
 struct Victim {
     place: PlaceIx,
     need: Res,
@@ -65,22 +76,19 @@
         Some(Victim { place: p, need: Res::of(&job.spec), cost: (5.0 + rank + lost + fresh) * many })
     }
 
-    /// Stops other work so that `tasks` get room. True if something was stopped.
-    pub fn evict(&mut self, now: Ms, ix: JobIx, tasks: &[u32]) -> bool {
-        let Some(job) = self.job(ix) else { return false };
-        let spec = job.spec.clone();
+    /// What is stopped, and where, so that `tasks` get room; in `zone` only, if
+    /// one is given. None: not enough may be stopped.
+    fn plan(&mut self, now: Ms, ix: JobIx, tasks: &[u32], zone: Option<ZoneIx>) -> Option<Plan> {
+        let spec = self.job(ix)?.spec.clone();
         let need = Res::of(&spec);
         let gang = spec.kind == Kind::Gang;
-        let tasks = if spec.kind == Kind::Array { &tasks[..tasks.len().min(ARRAY_TASKS)] } else { tasks };
-        let mut in_zone = job.zone_used.clone();
-        let mut halts: Vec<PlaceIx> = Vec::new();
-        let mut picks: Vec<usize> = Vec::new();
+        let mut in_zone = self.job(ix)?.zone_used.clone();
+        let mut plan = Plan::default();
         let kept = self.picture.reservations();
-        self.cursor = self.cursor.wrapping_mul(5).wrapping_add(101) % (self.machines.len().max(1) as u32);
-        let sample = self.picture.sample(&spec, None, self.cursor, SAMPLE);
+        let sample = self.picture.sample(&spec, zone, self.cursor, SAMPLE);
         let mut looked = 0;
         for _ in tasks {
-            let Some(job) = self.job(ix) else { return false };
+            let job = self.job(ix)?;
             let mut best: Option<(f64, usize, Vec<PlaceIx>, Res)> = None;
             let mut seen = 0;
             for &n in &sample {
@@ -103,7 +111,7 @@
                     .machine(MachineIx(n as u32))
                     .places
                     .iter()
-                    .filter(|p| !halts.contains(p))
+                    .filter(|p| !plan.halts.contains(p))
                     .filter_map(|&p| self.victim(now, p, job))
                     .collect();
                 victims.sort_by(|a, b| a.cost.total_cmp(&b.cost));
@@ -137,11 +145,11 @@
                     best = Some((cost, n, list, freed));
                 }
             }
-            let Some((_, n, list, freed)) = best else {
+            let Some((cost, n, list, freed)) = best else {
                 if gang {
                     self.picture.looked += looked;
                     self.picture.release(kept);
-                    return false;
+                    return None;
                 }
                 break;
             };
@@ -151,15 +159,39 @@
             }
             in_zone[zone.at()] += 1;
             self.picture.reserve(n, need, freed);
-            halts.extend(list);
-            picks.push(n);
+            plan.cost += cost;
+            plan.halts.extend(list);
+            plan.picks.push(n);
         }
         self.picture.looked += looked;
-        // What is stopped below counts as such by itself; the room is kept again after.
+        // What is stopped counts as such by itself; the room is kept again after.
         self.picture.release(kept);
-        if picks.is_empty() {
-            return false;
-        }
+        (!plan.picks.is_empty()).then_some(plan)
+    }
+
+    /// Stops other work so that `tasks` get room. True if something was stopped.
+    ///
+    /// Guard: a gang that must be in one zone went to that of its first task's
+    /// cheapest machine, and waited when that had too few. Each zone is a child
+    /// of its own; the feasible one that costs least wins.
+    pub fn evict(&mut self, now: Ms, ix: JobIx, tasks: &[u32]) -> bool {
+        let Some(job) = self.job(ix) else { return false };
+        let spec = job.spec.clone();
+        let need = Res::of(&spec);
+        let held = job.zone_used.iter().any(|&n| n > 0);
+        let tasks = if spec.kind == Kind::Array { &tasks[..tasks.len().min(ARRAY_TASKS)] } else { tasks };
+        self.cursor = self.cursor.wrapping_mul(5).wrapping_add(101) % (self.machines.len().max(1) as u32);
+        let zones: Vec<Option<ZoneIx>> = if spec.one_zone && !held && tasks.len() > 1 {
+            let mut zones: Vec<ZoneIx> = self.picture.pools.iter().map(|p| p.zone).collect();
+            zones.sort_unstable();
+            zones.dedup();
+            zones.into_iter().map(Some).collect()
+        } else {
+            vec![None]
+        };
+        let plans = zones.into_iter().filter_map(|z| self.plan(now, ix, tasks, z)).collect::<Vec<_>>();
+        let best = plans.into_iter().min_by(|a, b| b.picks.len().cmp(&a.picks.len()).then(a.cost.total_cmp(&b.cost)));
+        let Some(Plan { halts, picks, .. }) = best else { return false };
         let urgent = spec.priority == Priority::Production;
         let mut stopped = 0;
         for p in halts {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -592,6 +592,23 @@
     assert!(w.workers.len() <= 4 + 8, "{} machines", w.workers.len());
 }
 
+/// Guard: a gang that must be in one zone went to that of its first task's
+/// cheapest machine, and waited for ever when that zone had too few.
+fn room_for_a_gang_in_the_zone_that_has_enough(w: &mut World) {
+    for _ in 0..2 {
+        w.add_worker("b");
+    }
+    w.run(5_000);
+    let mut s = sub("j-1", "batch", 24);
+    s.priority = Some("low".into());
+    w.submit(s, 500_000);
+    w.until("all is full", 20_000, |w| w.starts == 24);
+    let mut s = sub("j-2", "ensemble", 3);
+    (s.priority, s.cpus, s.one_zone) = (Some("high".into()), Some(8.0), Some(true));
+    w.submit(s, 0);
+    w.until("the gang runs", 15_000, |w| (0..3).all(|n| w.where_is(&format!("j-2/{n}")).is_some()));
+}
+
 /// Guard: orders for one worker may be more than an answer takes.
 fn answers_stay_under_their_limit(w: &mut World) {
     use shedhook::protocol::{
@@ -649,6 +666,7 @@
         ("leaders in a row", leaders_that_follow_one_another_quickly),
         ("the largest", the_largest_begin_in_time),
         ("zones of rentals", machines_come_in_the_zones_that_need_them),
+        ("room in one zone", room_for_a_gang_in_the_zone_that_has_enough),
         ("answers", answers_stay_under_their_limit),
     ];
     for (n, (name, case)) in cases.iter().enumerate() {
