--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -1,6 +1,7 @@
 //! Keys and values in the state service.
 //!
-//! `leader`: who leads, attached to its grant. `j/ID`: a job's record: its
+//! `leader`: who leads, attached to its grant; `leader/LABEL`: a controller that
+//! may keep workers' leases, attached to a grant of its own. `j/ID`: a job's record: its
 //! submission and status. `t/ID/CHUNK`: where a part of its tasks may be.
 
 use std::fmt::Write as _;
@@ -14,6 +15,11 @@
 pub const JOBS: &str = "j/";
 pub const TASKS: &str = "t/";
 
+/// The key under which a controller says that it may keep leases.
+pub fn keeper_key(label: &str) -> String {
+    format!("{LEADER}/{label}")
+}
+
 pub fn job_key(id: &str) -> String {
     format!("{JOBS}{id}")
 }
--- /dev/null
+++ b/src/coordination/keeping.rs
@@ -0,0 +1,286 @@
+//! Workers' leases, kept by controllers that don't lead.
+//!
+//! A zone that is cut off, or an outage of the state service, leaves workers
+//! with no leader, and at the end of their leases they kill all they run. A
+//! controller that was in contact a moment ago may keep them meanwhile: it
+//! answers their reports with the token they hold and with no orders. Nothing
+//! new starts by that, and nothing that runs is lost. Two things must hold:
+//!
+//! - What is cancelled is gone in time. A controller keeps leases only for
+//!   `most_ms` after it *sent* its last read of the jobs' records, and none of
+//!   a worker that has a task of a job it knows as cancelled. Cancelled later
+//!   than that read, a task is gone `most_ms` and a lease after it at the latest.
+//! - A leader that counts a lease out must know of every such answer.
+//!   [`Keeper`] keeps only while its key stands in the state service, under a
+//!   grant; [`Witness`] believes that a controller kept nothing only for the
+//!   time that the controller itself spoke for, or its key was away.
+
+use super::model::Ms;
+
+/// Two steady clocks may part by twice this share; times are cut by more.
+const DRIFT: f64 = 0.002;
+const MARGIN_MS: Ms = 40;
+/// Out of contact for this long before any lease is kept.
+const QUIET_MS: Ms = 2_500;
+/// Besides both clocks' drift: for answers and reports on their way.
+const SLACK_MS: f64 = 2_000.0;
+
+/// How long after its last contact a controller may keep leases; 0: never.
+pub fn most_ms(cancel_s: f64, lease_s: f64) -> Ms {
+    let most = (cancel_s * (1.0 - DRIFT) - lease_s * (1.0 + DRIFT)) * 1000.0 - SLACK_MS;
+    if most >= 2.0 * QUIET_MS as f64 {
+        most as Ms
+    } else {
+        0
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Act {
+    /// POST /grants
+    Grant,
+    /// POST /grants/{}/renew
+    Renew(u64),
+    /// Write this controller's key under the grant, if its stamp is as expected.
+    Register { permit: u64, expect: u64 },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Flight {
+    None,
+    Grant { sent: Ms },
+    Renew { sent: Ms },
+    Register,
+}
+
+/// This controller's own right to keep leases.
+#[derive(Debug)]
+pub struct Keeper {
+    most_ms: Ms,
+    permit: Option<u64>,
+    valid_until: Ms,
+    last_renewal: Ms,
+    flight: Flight,
+    retry_at: Ms,
+    /// The key's stamp as last seen (0: it isn't there), and at which revision.
+    key: Option<(u64, u64)>,
+    registered: bool,
+    /// When the last read of the jobs' records that was taken in was sent.
+    synced: Option<Ms>,
+    /// When a lease was last kept.
+    pub last: Ms,
+}
+
+impl Keeper {
+    pub fn new(most_ms: Ms) -> Keeper {
+        Keeper {
+            most_ms,
+            permit: None,
+            valid_until: 0,
+            last_renewal: 0,
+            flight: Flight::None,
+            retry_at: 0,
+            key: None,
+            registered: false,
+            synced: None,
+            last: 0,
+        }
+    }
+
+    /// Outlives the time in which leases may be kept by one renewal and more.
+    pub fn ttl_ms(&self) -> Ms {
+        self.most_ms + 6_000
+    }
+
+    pub fn tick(&mut self, now: Ms) -> Option<Act> {
+        if self.most_ms == 0 || self.flight != Flight::None || now < self.retry_at {
+            return None;
+        }
+        let (stamp, _) = self.key?;
+        let act = match self.permit {
+            Some(p) if self.registered && now >= self.last_renewal + 3_000 => {
+                self.last_renewal = now;
+                self.flight = Flight::Renew { sent: now };
+                Act::Renew(p)
+            }
+            Some(_) if self.registered => return None,
+            Some(p) if now + self.ttl_ms() / 2 < self.valid_until => {
+                self.flight = Flight::Register;
+                Act::Register { permit: p, expect: stamp }
+            }
+            _ => {
+                self.permit = None;
+                self.flight = Flight::Grant { sent: now };
+                Act::Grant
+            }
+        };
+        Some(act)
+    }
+
+    fn alive_until(&self, sent: Ms) -> Ms {
+        (sent + (self.ttl_ms() as f64 * (1.0 - DRIFT)) as Ms).saturating_sub(MARGIN_MS)
+    }
+
+    pub fn granted(&mut self, now: Ms, permit: Option<u64>) {
+        let Flight::Grant { sent } = self.flight else { return };
+        self.flight = Flight::None;
+        match permit {
+            Some(p) => (self.permit, self.valid_until, self.last_renewal) = (Some(p), self.alive_until(sent), sent),
+            None => self.retry_at = now + 1_000,
+        }
+    }
+
+    /// `Some(true)`: renewed; `Some(false)`: the grant has ended; None: unknown.
+    pub fn renewed(&mut self, now: Ms, result: Option<bool>) {
+        let Flight::Renew { sent } = self.flight else { return };
+        self.flight = Flight::None;
+        match result {
+            Some(true) => self.valid_until = self.valid_until.max(self.alive_until(sent)),
+            Some(false) => self.lost(),
+            None => (self.last_renewal, self.retry_at) = (0, now + 1_000),
+        }
+    }
+
+    /// `Some(stamp)`: written. None: lost or unknown; the watch tells which.
+    pub fn registered(&mut self, now: Ms, stamp: Option<u64>) {
+        if self.flight != Flight::Register {
+            return;
+        }
+        self.flight = Flight::None;
+        match stamp {
+            Some(s) => self.saw_key(s, s, true),
+            None => self.retry_at = now + 1_000,
+        }
+    }
+
+    /// The grant is gone, and the key with it.
+    pub fn lost(&mut self) {
+        (self.permit, self.valid_until, self.registered) = (None, 0, false);
+    }
+
+    /// The key was seen at revision `at`: its stamp (0: not there), and whether
+    /// it is of this start of the process.
+    pub fn saw_key(&mut self, stamp: u64, at: u64, mine: bool) {
+        if self.key.is_some_and(|(_, seen)| seen > at) {
+            return;
+        }
+        self.key = Some((stamp, at));
+        self.registered = mine && stamp != 0;
+    }
+
+    pub fn synced(&mut self, sent: Ms) {
+        self.synced = self.synced.max(Some(sent));
+    }
+
+    /// Only out of contact, only for a time, and only while the key stands.
+    pub fn may_keep(&self, now: Ms) -> bool {
+        let contact = self.synced.is_some_and(|s| now >= s + QUIET_MS && now < s + self.most_ms);
+        contact && self.registered && now < self.valid_until
+    }
+}
+
+/// For how long each other controller is known to have kept no lease: from and
+/// to, on this controller's clock.
+#[derive(Debug)]
+pub struct Witness {
+    spans: Vec<Option<(i64, i64)>>,
+}
+
+impl Witness {
+    pub fn new(peers: usize) -> Witness {
+        Witness { spans: vec![None; peers] }
+    }
+
+    /// Between these moments `peer` kept nothing. What lies before is believed
+    /// only as far as it is joined on.
+    pub fn quiet(&mut self, peer: usize, from: i64, to: i64) {
+        if to < from {
+            return;
+        }
+        let Some(span) = self.spans.get_mut(peer) else { return };
+        *span = match *span {
+            Some((a, b)) if from <= b && to >= a => Some((a.min(from), b.max(to))),
+            Some((a, b)) if to < a => Some((a, b)),
+            _ => Some((from, to)),
+        };
+    }
+
+    /// The time in which nobody else kept any lease.
+    pub fn span(&self) -> (i64, i64) {
+        self.spans.iter().fold((i64::MIN / 2, i64::MAX / 2), |(from, to), s| match s {
+            Some((a, b)) => (from.max(*a), to.min(*b)),
+            None => (i64::MAX / 2, i64::MIN / 2),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ready(most: Ms) -> Keeper {
+        let mut k = Keeper::new(most);
+        k.saw_key(0, 5, false);
+        assert_eq!(k.tick(0), Some(Act::Grant));
+        k.granted(20, Some(7));
+        assert_eq!(k.tick(20), Some(Act::Register { permit: 7, expect: 0 }));
+        k.registered(40, Some(9));
+        k.synced(1_000);
+        k
+    }
+
+    /// Guard: what is cancelled right after the last read is still gone in time.
+    #[test]
+    fn kept_only_for_so_long() {
+        // (cancel_s, lease_s, longest)
+        for (cancel, lease, most) in [(50.0, 30.0, 17_840), (66.0, 36.0, 27_795), (30.0, 30.0, 0), (35.0, 30.0, 0)] {
+            let got = most_ms(cancel, lease);
+            assert_eq!(got, most, "{cancel} {lease}");
+            assert!(got == 0 || got as f64 + lease * 1000.0 < cancel * 1000.0 - 1_000.0);
+        }
+        let k = ready(18_000);
+        // (now, may keep): in contact, out of contact, too long.
+        for (now, may) in [(1_100, false), (3_400, false), (3_600, true), (18_900, true), (19_000, false)] {
+            assert_eq!(k.may_keep(now), may, "at {now}");
+        }
+        let mut k = ready(18_000);
+        k.saw_key(0, 12, false);
+        assert!(!k.may_keep(5_000), "the key is gone: a leader no longer counts on us");
+        assert_eq!(k.tick(5_000), Some(Act::Register { permit: 7, expect: 0 }));
+        k.registered(5_010, None);
+        k.saw_key(13, 13, true);
+        assert!(k.may_keep(5_100), "the watch shows that it was written");
+        k.saw_key(8, 8, false);
+        assert!(k.may_keep(5_100), "an older sight changes nothing");
+        assert_eq!(k.tick(6_100), Some(Act::Renew(7)));
+        k.renewed(6_110, Some(false));
+        assert!(!k.may_keep(6_200));
+        // The grant's end is counted from when its renewal was sent.
+        let mut k = ready(18_000);
+        k.synced(30_000);
+        assert!(!k.may_keep(33_000), "never renewed");
+        assert!(Keeper::new(0).tick(0).is_none());
+    }
+
+    /// Guard: a lease is counted out only over a time that every other
+    /// controller has spoken for.
+    #[test]
+    fn who_spoke_for_which_time() {
+        let mut w = Witness::new(2);
+        let none = w.span();
+        assert!(none.0 > none.1);
+        w.quiet(0, -500, 1_000);
+        w.quiet(1, 200, 900);
+        assert_eq!(w.span(), (200, 900));
+        w.quiet(1, 850, 1_500);
+        assert_eq!(w.span(), (200, 1_000), "joined on");
+        // It ended, and came back after a gap: what was before counts no more.
+        w.quiet(0, 1_700, 1_600);
+        assert_eq!(w.span(), (200, 1_000), "an old word says nothing");
+        w.quiet(0, 1_400, 2_000);
+        assert_eq!(w.span(), (1_400, 1_500));
+        w.quiet(0, 100, 300);
+        assert_eq!(w.span(), (1_400, 1_500), "a late word about long ago");
+        assert_eq!(Witness::new(0).span().1, i64::MAX / 2);
+    }
+}
--- a/src/coordination/leader/leases.rs
+++ b/src/coordination/leader/leases.rs
@@ -112,8 +112,11 @@
         }
         // Guard: counted from the last 200 that any leader could have sent
         // (a new leader counts from its own start), both clocks' drift added.
-        let end = m.renewed + self.cfg.lease_ms + self.cfg.lease_ms / 500 + 500;
-        if now < end {
+        // Another controller may have kept it: then from the last moment at
+        // which one could have, and only once all have spoken for the time since.
+        let lease = (self.cfg.lease_ms + self.cfg.lease_ms / 500 + 500) as i64;
+        let end = (m.renewed as i64).max(self.quiet.0) + lease;
+        if (now as i64) < end || self.quiet.1 < end {
             return;
         }
         tracing::warn!(machine = &*m.id, tasks = m.places.len(), "lease ran out");
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -176,6 +176,8 @@
     /// Machines that something may have to be told, and when to look.
     wake: BTreeSet<(Ms, MachineIx)>,
     next_sweep: Ms,
+    /// From when to when no other controller kept any lease.
+    pub quiet: (i64, i64),
     next_summary: Ms,
     written_since: Written,
     pub gpu_shapes: Vec<(Rc<JobSpec>, Ms, i64)>,
@@ -198,6 +200,7 @@
             cursor: 0,
             wake: BTreeSet::new(),
             next_sweep: now,
+            quiet: (i64::MIN / 2, i64::MAX / 2),
             next_summary: now + 10_000,
             written_since: Written::default(),
             cfg,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod election;
 pub mod fleet;
+pub mod keeping;
 pub mod leader;
 pub mod model;
 pub mod pass;
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -3,11 +3,13 @@
 
 use std::collections::HashSet;
 
+use ciborium::Value;
+
 use super::wiring::{wall_ms, Node, Peer, Pending};
 use crate::{
     bookkeeping::{
         budget::{share, Part, Urgency},
-        records::{self, LeaderRecord},
+        records::{self, LeaderRecord, Status},
     },
     coordination::{
         fleet::RentOutcome,
@@ -17,9 +19,9 @@
     protocol::{
         cbor,
         cloud::{Flavors, HostList, HostNames},
-        peers::{self, Gossip},
-        store::{Changes, Conflict, Epoch, Page, Pair, Permit},
-        workers::{Redirect, Report},
+        peers::{self, Echo, Gossip},
+        store::{Change, Changes, Conflict, Epoch, Page, Pair, Permit},
+        workers::{split_task, Redirect, Report, ReportAnswer, TaskReport},
     },
     transport::{CallError, ConnId, Net, Reply},
 };
@@ -31,6 +33,8 @@
 /// Between two reads for the barrier, for each controller that does the same.
 const BARRIER_GAP_MS: Ms = 40;
 /// A peer not heard for this long may use its whole part of the budgets.
+/// How long users wait for the barrier at most.
+const BARRIER_MS: Ms = 1_600;
 const PEER_SILENT_MS: Ms = 2_000;
 const PASS_GAP_MS: Ms = 40;
 const SLOW_PASS_GAP_MS: Ms = 300;
@@ -70,6 +74,9 @@
         if let Some(act) = self.election.tick(now) {
             self.act(net, act);
         }
+        if let Some(act) = self.keeper.tick(now) {
+            self.keep_act(net, act);
+        }
         self.lead(net);
         self.flush_barrier(net);
         if now >= self.next_gossip {
@@ -84,13 +91,13 @@
         if !self.leader_known {
             if self.leader_key.due(now) && self.reads.take(now, 1.0, Urgency::Commit).is_ok() {
                 self.leader_key.in_flight = true;
-                let path = format!("/store?under={}&most=2", records::LEADER);
+                let path = format!("/store?under={}&most=1000", records::LEADER);
                 self.ask_state(net, Pending::LeaderKey, "GET", path, Vec::new(), 2_000);
             }
         } else if self.leader_key.due(now) && self.reads.take(now, 1.0, Urgency::Cancel).is_ok() {
             self.leader_key.in_flight = true;
             let path = format!("/changes?under={}&from={}&waitMs={KEY_WATCH_MS}", records::LEADER, self.leader_epoch);
-            self.ask_state(net, Pending::LeaderWatch, "GET", path, Vec::new(), KEY_WATCH_MS + 2_000);
+            self.ask_state(net, Pending::LeaderWatch { sent: now }, "GET", path, Vec::new(), KEY_WATCH_MS + 2_000);
         }
         if !self.mirror.loaded() {
             if self.jobs_page.due(now) && self.reads.take(now, 1.0, Urgency::Commit).is_ok() {
@@ -103,7 +110,7 @@
         } else if self.jobs_watch.due(now) && self.reads.take(now, 1.0, Urgency::Commit).is_ok() {
             self.jobs_watch.in_flight = true;
             let path = format!("/changes?under={}&from={}&waitMs={WATCH_MS}", records::JOBS, self.mirror.epoch());
-            self.ask_state(net, Pending::JobsWatch, "GET", path, Vec::new(), WATCH_MS + 2_000);
+            self.ask_state(net, Pending::JobsWatch { sent: now }, "GET", path, Vec::new(), WATCH_MS + 2_000);
         }
     }
 
@@ -123,18 +130,19 @@
                 return self.refuse_all(net, waiters);
             }
             let path = format!("/changes?under={}&from={}&waitMs=0", records::JOBS, self.mirror.epoch());
-            self.ask_state(net, Pending::Barrier, "GET", path, Vec::new(), 1_500);
+            self.ask_state(net, Pending::Barrier { sent: now }, "GET", path, Vec::new(), 1_500);
         }
         if !self.barrier.is_empty() {
-            let late = self.barrier.overdue(now, 1_600);
+            let late = self.barrier.overdue(now, BARRIER_MS);
             self.refuse_all(net, late);
         }
     }
 
-    fn apply_changes(&mut self, result: &Result<Reply, CallError>) -> bool {
+    fn apply_changes(&mut self, sent: Ms, result: &Result<Reply, CallError>) -> bool {
         match body::<Changes>(result) {
             Some(c) => {
                 self.mirror.apply(&c, &mut self.tables);
+                self.keeper.synced(sent);
                 true
             }
             None => {
@@ -157,12 +165,20 @@
                 let seen = rec.and_then(|p| p.v.deserialized::<LeaderRecord>().ok());
                 let stamp = rec.map_or(page.epoch, |p| p.stamp);
                 self.election.saw_key(now, seen, stamp);
+                let own = records::keeper_key(&self.settings.label);
+                let found = page.pairs.iter().find(|p| p.key == own);
+                let mine = found.is_some_and(|p| self.is_mine(&p.v));
+                self.keeper.saw_key(found.map_or(0, |p| p.stamp), page.epoch, mine);
+                for p in &mut self.peers {
+                    let key = records::keeper_key(&p.label);
+                    p.keyless = (!page.pairs.iter().any(|r| r.key == key)).then_some(now);
+                }
             }
             None => self.leader_key.after = now + 250,
         }
     }
 
-    fn leader_changes(&mut self, now: Ms, result: &Result<Reply, CallError>) {
+    fn leader_changes(&mut self, now: Ms, sent: Ms, result: &Result<Reply, CallError>) {
         self.leader_key.in_flight = false;
         match body::<Changes>(result) {
             Some(c) => {
@@ -172,6 +188,14 @@
                         self.election.saw_key(now, rec, e.stamp);
                     } else if e.drop.as_deref() == Some(records::LEADER) {
                         self.election.saw_key(now, None, e.stamp);
+                    } else {
+                        self.keeper_change(now, e);
+                    }
+                }
+                // Who had no key when the watch was sent, nor since: it kept nothing.
+                for (n, p) in self.peers.iter().enumerate() {
+                    if let Some(since) = p.keyless {
+                        self.witness.quiet(n, since as i64, sent as i64);
                     }
                 }
                 self.leader_epoch = self.leader_epoch.max(c.epoch);
@@ -185,6 +209,22 @@
         }
     }
 
+    fn is_mine(&self, v: &Value) -> bool {
+        v.deserialized::<LeaderRecord>().is_ok_and(|r| r.label == self.settings.label && r.nonce == self.nonce)
+    }
+
+    /// A key under which a controller may keep leases came or went.
+    fn keeper_change(&mut self, now: Ms, c: &Change) {
+        let Some(key) = c.write.as_ref().or(c.drop.as_ref()) else { return };
+        let there = c.write.is_some();
+        if *key == records::keeper_key(&self.settings.label) {
+            let mine = c.v.as_ref().is_some_and(|v| self.is_mine(v));
+            self.keeper.saw_key(if there { c.stamp } else { 0 }, c.stamp, mine);
+        } else if let Some(p) = self.peers.iter_mut().find(|p| *key == records::keeper_key(&p.label)) {
+            p.keyless = (!there).then_some(now);
+        }
+    }
+
     fn took_flavors(&mut self, now: Ms, result: &Result<Reply, CallError>) {
         self.flavors.in_flight = false;
         let Some(f) = body::<Flavors>(result) else {
@@ -239,6 +279,16 @@
             reads_used: self.reads.used(now),
             writes_used: self.writes.used(now),
             commits_used: self.commits.used(now),
+            clock_ms: now,
+            echoes: self
+                .peers
+                .iter()
+                .filter_map(|p| {
+                    let (nonce, clock_ms) = p.clock?;
+                    Some(Echo { of: p.label.clone(), nonce, clock_ms })
+                })
+                .collect(),
+            quiet_ms: now.saturating_sub(self.keeper.last),
             counts,
         };
         self.gossips += 1;
@@ -280,10 +330,25 @@
                 tracing::warn!(machine = &*report.machine, token = report.token, "a worker has seen a higher token");
                 self.turn_away(net, conn, now);
             }
+            None if self.keeps(now, &report) => {
+                // Guard: noted before it is sent, so that no leader counts it out.
+                self.keeper.last = now;
+                let bytes = cbor::encode(&ReportAnswer { token: report.token, orders: Vec::new() });
+                net.respond(conn, 200, None, &bytes);
+            }
             None => self.turn_away(net, conn, now),
         }
     }
 
+    /// With no leader to be found, a worker's lease is kept; see `coordination::keeping`.
+    fn keeps(&self, now: Ms, r: &Report) -> bool {
+        let cancelled = |t: &TaskReport| {
+            let job = split_task(&t.task).and_then(|(id, _)| self.mirror.find(id));
+            job.is_some_and(|ix| self.mirror.get(ix).status == Status::Cancelled)
+        };
+        r.token > 0 && self.keeper.may_keep(now) && self.boss(now).is_none() && !r.tasks.iter().any(cancelled)
+    }
+
     fn turn_away(&mut self, net: &mut Net, conn: ConnId, now: Ms) {
         self.knocks.push(now);
         if self.knocks.len() > 10_000 {
@@ -347,6 +412,9 @@
         if !l.loaded {
             return self.load_tasks(net, now, stamp);
         }
+        // What this controller kept itself, while it did not lead, counts too.
+        let (from, to) = self.witness.span();
+        l.quiet = (from.max(self.keeper.last as i64), to);
         l.sweep(now);
         l.fleet_step(now, &self.tables);
         let gap = now.saturating_sub(l.last_pass);
@@ -386,7 +454,7 @@
         self.tasks.in_flight = true;
         if !self.tasks_synced {
             let path = format!("/changes?under={}&from={}&waitMs=0", records::JOBS, self.mirror.epoch());
-            return self.ask_state(net, Pending::TasksSync { stamp }, "GET", path, Vec::new(), 1_500);
+            return self.ask_state(net, Pending::TasksSync { stamp, sent: now }, "GET", path, Vec::new(), 1_500);
         }
         let from = self.tasks_from.as_ref().map_or(String::new(), |f| format!("&from={f}"));
         let path = format!("/store?under={}{from}&most=1000", records::TASKS);
@@ -556,8 +624,23 @@
                 self.election.claimed(now, body::<Epoch>(&result).map(|e| e.epoch));
             }
             Pending::Resign => {}
+            Pending::KeeperGrant => self.keeper.granted(now, body::<Permit>(&result).map(|p| p.permit)),
+            Pending::KeeperRenew => {
+                let ok = match status(&result) {
+                    200 => Some(true),
+                    404 => Some(false),
+                    _ => None,
+                };
+                self.keeper.renewed(now, ok);
+            }
+            Pending::KeeperRegister => {
+                if status(&result) == 400 {
+                    self.keeper.lost();
+                }
+                self.keeper.registered(now, body::<Epoch>(&result).map(|e| e.epoch));
+            }
             Pending::LeaderKey => self.leader_page(now, &result),
-            Pending::LeaderWatch => self.leader_changes(now, &result),
+            Pending::LeaderWatch { sent } => self.leader_changes(now, sent, &result),
             Pending::JobsPage { first } => {
                 self.jobs_page.in_flight = false;
                 match body::<Page>(&result) {
@@ -568,14 +651,17 @@
                     None => self.jobs_page.after = now + 250,
                 }
             }
-            Pending::JobsWatch => {
+            Pending::JobsWatch { sent } => {
                 self.jobs_watch.in_flight = false;
                 // Others need no watch of their own: what users ask brings it up to date.
                 let gap = if self.leader.is_some() { 10 } else { 1_000 };
-                self.jobs_watch.after = now + if self.apply_changes(&result) { gap } else { 250 };
+                self.jobs_watch.after = now + if self.apply_changes(sent, &result) { gap } else { 250 };
             }
-            Pending::Barrier => {
-                let ok = self.apply_changes(&result);
+            Pending::Barrier { sent } => {
+                let ok = self.apply_changes(sent, &result);
+                // Guard: after a halt, the read is as old as those who asked.
+                let late = self.barrier.overdue(now, BARRIER_MS);
+                self.refuse_all(net, late);
                 let waiters = self.barrier.ended();
                 if ok {
                     self.serve(net, waiters);
@@ -585,10 +671,10 @@
             }
             Pending::Submit { conn, id, record } => self.submitted(net, conn, id, &record, result),
             Pending::Abort { conn, id, record, tries } => self.aborted(net, conn, id, &record, tries, result),
-            Pending::TasksSync { stamp } => {
+            Pending::TasksSync { stamp, sent } => {
                 if self.leader.as_ref().is_some_and(|l| l.stamp == stamp) {
                     self.tasks.in_flight = false;
-                    self.tasks_synced = self.apply_changes(&result);
+                    self.tasks_synced = self.apply_changes(sent, &result);
                     self.tasks.after = if self.tasks_synced { now } else { now + 200 };
                 }
             }
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -19,6 +19,7 @@
     },
     coordination::{
         election::{Act, Election},
+        keeping::{self, Keeper, Witness},
         leader::{Aim, Config, Leader},
         model::{MachineIx, Ms, TeamLimits, TypeInfo},
     },
@@ -78,13 +79,16 @@
     Claim,
     Resign,
     LeaderKey,
-    LeaderWatch,
+    LeaderWatch { sent: Ms },
     JobsPage { first: bool },
-    JobsWatch,
-    Barrier,
+    JobsWatch { sent: Ms },
+    Barrier { sent: Ms },
+    KeeperGrant,
+    KeeperRenew,
+    KeeperRegister,
     Submit { conn: ConnId, id: String, record: Rc<JobRecord> },
     Abort { conn: ConnId, id: String, record: Rc<JobRecord>, tries: u32 },
-    TasksSync { stamp: u64 },
+    TasksSync { stamp: u64, sent: Ms },
     TasksPage { stamp: u64 },
     Commit { stamp: u64 },
     Resync { stamp: u64, key: String },
@@ -108,6 +112,10 @@
     pub reads_used: f64,
     pub writes_used: f64,
     pub commits_used: f64,
+    /// Of its last frame: which start of it, and its clock.
+    pub clock: Option<(u64, Ms)>,
+    /// Since when it is known to have no key under which it may keep leases.
+    pub keyless: Option<Ms>,
 }
 
 /// A read or watch that is kept going: at most one at a time, again after a pause.
@@ -135,6 +143,8 @@
     pub barrier: Barrier<Waiter>,
     pub election: Election,
     pub leader: Option<Leader>,
+    pub keeper: Keeper,
+    pub witness: Witness,
     pub reads: Budget,
     /// For users' requests.
     pub writes: Budget,
@@ -195,9 +205,15 @@
                 reads_used: 0.0,
                 writes_used: 0.0,
                 commits_used: 0.0,
+                clock: None,
+                keyless: None,
             })
             .collect();
         let election = Election::new(&settings.label, nonce, operator.leader_ttl_ms);
+        let w = &settings.cluster.workers;
+        let alone = settings.seeds.is_empty();
+        let keeper = Keeper::new(if alone { 0 } else { keeping::most_ms(w.cancel_s, w.lease_s) });
+        let witness = Witness::new(settings.seeds.len());
         let (st, cl) = (&settings.cluster.state, &settings.cluster.cloud);
         Node {
             reads: Budget::new(st.rps * 0.25, st.rps * 0.3),
@@ -209,6 +225,8 @@
             barrier: Barrier::default(),
             election,
             leader: None,
+            keeper,
+            witness,
             types: Vec::new(),
             peers,
             pending: HashMap::new(),
@@ -346,6 +364,31 @@
         }
     }
 
+    pub fn keep_act(&mut self, net: &mut Net, act: keeping::Act) {
+        use crate::protocol::store::{Condition, GrantRequest, Op, Txn};
+        let now = net.now();
+        let _ = self.reads.take(now, 1.0, Urgency::Lease);
+        match act {
+            keeping::Act::Grant => {
+                let body = cbor::encode(&GrantRequest { ttl_ms: self.keeper.ttl_ms() });
+                self.ask_state(net, Pending::KeeperGrant, "POST", "/grants".into(), body, 1_500);
+            }
+            keeping::Act::Renew(p) => {
+                self.ask_state(net, Pending::KeeperRenew, "POST", format!("/grants/{p}/renew"), Vec::new(), 1_500);
+            }
+            keeping::Act::Register { permit, expect } => {
+                let rec = LeaderRecord { label: self.settings.label.clone(), nonce: self.nonce };
+                let key = records::keeper_key(&self.settings.label);
+                let txn = Txn {
+                    conditions: vec![Condition { key: key.clone(), stamp: expect }],
+                    writes: vec![Op::Put { key, v: records::to_value(&rec), permit: Some(permit) }],
+                };
+                let _ = self.commits.take(now, 1.0, Urgency::Lease);
+                self.ask_state(net, Pending::KeeperRegister, "POST", "/multi".into(), cbor::encode(&txn), 1_500);
+            }
+        }
+    }
+
     // ---- events --------------------------------------------------------
 
     pub fn handle(&mut self, net: &mut Net, event: Event) {
@@ -424,11 +467,20 @@
             }
         };
         let now = net.now();
-        let Some(p) = self.peers.iter_mut().find(|p| p.label == g.from) else { return };
+        let Some(n) = self.peers.iter().position(|p| p.label == g.from) else { return };
+        let p = &mut self.peers[n];
         if !p.order.is_news(&g) {
             return;
         }
         p.heard = Some(now);
+        p.clock = Some((g.nonce, g.clock_ms));
+        // Guard: it speaks for the time up to when it had heard our clock at
+        // that reading, however long its frame was on the way.
+        let own = |e: &&peers::Echo| e.of == self.settings.label && e.nonce == self.nonce;
+        if let Some(e) = g.echoes.iter().find(own) {
+            let quiet = (g.quiet_ms.min(1 << 40) as f64 * 0.999) as i64;
+            self.witness.quiet(n, now as i64 - quiet, e.clock_ms.min(now) as i64);
+        }
         p.state_age = g.state_age_ms;
         p.knocks = g.knocks;
         p.leading = g.leading;
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -21,10 +21,23 @@
     /// For users' requests, and for its own work as the leader.
     pub writes_used: f64,
     pub commits_used: f64,
+    /// The sender's steady clock, and those it last heard of others.
+    pub clock_ms: u64,
+    pub echoes: Vec<Echo>,
+    /// For how long it has kept no worker's lease.
+    pub quiet_ms: u64,
     /// From the leader: counts of jobs that changed lately, for display.
     pub counts: Vec<Count>,
 }
 
+/// What was last heard from a controller: which start of it, and its clock then.
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
+pub struct Echo {
+    pub of: String,
+    pub nonce: u64,
+    pub clock_ms: u64,
+}
+
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 pub struct Count {
     pub job: String,
@@ -33,7 +46,7 @@
 }
 
 /// First byte of every frame: the form of what follows.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum FrameError {
@@ -107,6 +120,9 @@
             reads_used: 7.5,
             writes_used: 0.5,
             commits_used: 1.0,
+            clock_ms: 40,
+            echoes: vec![Echo { of: "b".into(), nonce: 9, clock_ms: 17 }],
+            quiet_ms: 12,
             counts: vec![Count { job: "j-1".into(), done: 2, running: 3 }],
         }
     }
