--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -320,7 +320,7 @@
                 let bytes = cbor::encode(&a);
                 // Guard: thinking took time; a 200 may only be sent within the lease.
                 if self.election.leading(net.now()).is_some() {
-                    net.respond(conn, 200, None, &bytes);
+                    net.respond_report(conn, 200, &bytes);
                 } else {
                     net.respond(conn, 503, None, b"");
                 }
@@ -334,7 +334,7 @@
                 // Guard: noted before it is sent, so that no leader counts it out.
                 self.keeper.last = now;
                 let bytes = cbor::encode(&ReportAnswer { token: report.token, orders: Vec::new() });
-                net.respond(conn, 200, None, &bytes);
+                net.respond_report(conn, 200, &bytes);
             }
             None => self.turn_away(net, conn, now),
         }
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -131,6 +131,10 @@
     }
 }
 
+/// Nobody waits longer than this for an answer of ours, nor we for a peer's or
+/// the state service's, a few watches aside.
+const STOOD_STILL_MS: Ms = 5_000;
+
 /// How long a peer's word, and the state service's, that somebody leads is believed.
 const BOSS_MS: Ms = 1_500;
 const BOSS_STATE_MS: Ms = 4_500;
@@ -404,6 +408,10 @@
     }
 
     fn request(&mut self, net: &mut Net, conn: ConnId, req: Request) {
+        // Guard: no work for a client that has given up meanwhile.
+        if !net.is_open(conn) {
+            return;
+        }
         let path = req.path.split('?').next().unwrap_or("");
         let method = req.method.as_str();
         if path == "/checkin" {
@@ -533,10 +541,19 @@
     }
     tracing::info!(label = &*settings.label, zone = &*settings.domain, "started");
     let mut node = Node::new(settings, operator, &mut net);
+    let mut looked = net.now();
     loop {
         node.tick(&mut net);
         let wait = node.wait_ms(net.now());
         net.turn(&mut event_loop, Duration::from_millis(wait)).map_err(|e| NodeError::Loop(e.to_string()))?;
+        // Guard: after standing still, the time is noted before anything that
+        // was waiting is acted on.
+        let now = net.now();
+        if now > looked + STOOD_STILL_MS {
+            tracing::warn!(ms = now - looked, "stood still: what was waiting is dropped");
+            net.stood_still();
+        }
+        looked = net.now();
         while let Some(event) = net.pop() {
             node.handle(&mut net, event);
         }
--- a/src/transport/net.rs
+++ b/src/transport/net.rs
@@ -39,9 +39,20 @@
         (self.sockets / 16).max(16)
     }
 
+    /// Most sockets that served connections may take.
+    fn most(&self) -> usize {
+        self.sockets.saturating_sub(self.reserve())
+    }
+
+    /// Above this many sockets, those who only report don't keep theirs: users
+    /// and health probes must always find one.
+    fn crowded(&self) -> usize {
+        self.most() - self.most() / 8
+    }
+
     /// Idle connections kept for the next calls, to all services together.
     fn idle_calls(&self) -> usize {
-        (self.sockets / 8).max(8)
+        (self.sockets / 16).max(8)
     }
 }
 
@@ -187,8 +198,7 @@
         for _ in 0..64 {
             match listener.accept() {
                 Ok((stream, _)) => {
-                    let most = self.limits.sockets.saturating_sub(self.limits.reserve());
-                    if self.conns.len() >= most && !self.free_sockets() {
+                    if self.conns.len() >= self.limits.most() && !self.free_sockets() {
                         continue; // dropped, which closes it: the balancer moves on
                     }
                     if stream.set_nonblocking(true).is_err() {
@@ -225,7 +235,7 @@
                 break;
             }
         }
-        if self.conns.len() < self.limits.sockets.saturating_sub(self.limits.reserve()) {
+        if self.conns.len() < self.limits.most() {
             return true;
         }
         let stale_at = now + self.limits.idle_ms.saturating_sub(self.limits.stale_ms);
@@ -472,6 +482,42 @@
         }
     }
 
+    /// Answers a report. Guard: more workers than sockets. While there are too
+    /// few, it is also told to close the connection, which makes room for
+    /// another; it comes back with its next report.
+    pub fn respond_report(&mut self, conn: ConnId, status: u16, body: &[u8]) {
+        if self.conns.len() > self.limits.crowded() {
+            if let Some(Conn { role: Role::Served { close, .. }, .. }) = self.conns.get_mut(&conn) {
+                *close = true;
+            }
+        }
+        self.respond(conn, status, None, body);
+    }
+
+    /// Is the client of this connection still there, as far as is known?
+    pub fn is_open(&self, conn: ConnId) -> bool {
+        self.conns.contains_key(&conn)
+    }
+
+    /// The process stood still while its clocks ran on. Whatever waits in its
+    /// sockets is old, and whoever sent it has given up: all connections are
+    /// closed, calls count as unanswered, and what was read already is dropped.
+    pub fn stood_still(&mut self) {
+        let ids: Vec<ConnId> = self.conns.keys().copied().collect();
+        for id in ids {
+            self.close(id);
+        }
+        self.events.retain_mut(|e| match e {
+            Event::Reply { result, .. } => {
+                if result.is_ok() {
+                    *result = Err(CallError::Unknown);
+                }
+                true
+            }
+            Event::Request { .. } | Event::Frame { .. } => false,
+        });
+    }
+
     fn dial(dest: SocketAddr) -> io::Result<TcpStream> {
         use rustix::net::{connect, socket_with, AddressFamily, SocketFlags, SocketType};
         let SocketAddr::V4(v4) = dest else { return Err(io::ErrorKind::Unsupported.into()) };
@@ -607,6 +653,8 @@
                     if let Event::Request { conn, req } = e {
                         if req.path == "/now" {
                             self.net.respond(conn, 200, None, b"");
+                        } else if req.path == "/report" {
+                            self.net.respond_report(conn, 200, b"");
                         }
                     }
                 }
@@ -655,6 +703,58 @@
         assert_eq!(b.net.sockets(), 0);
     }
 
+    /// Guard: more workers than sockets. Those who found none lost their
+    /// leases, and users and probes were refused with them.
+    #[test]
+    fn sockets_fewer_than_workers() {
+        let mut b = bed(Limits { sockets: 64, idle_ms: 60_000, head_ms: 5_000, stale_ms: 30_000 });
+        let mut workers: Vec<Option<TcpStream>> = (0..96).map(|_| None).collect();
+        for round in 0..4 {
+            for n in 0..workers.len() {
+                let standing = workers[n].as_mut().is_some_and(is_open);
+                if !standing {
+                    workers[n] = Some(b.client(b""));
+                }
+                let s = workers[n].as_mut().unwrap();
+                s.write_all(b"GET /report HTTP/1.1\r\n\r\n").unwrap();
+                b.turn(5);
+                let mut buf = [0; 1024];
+                let got = workers[n].as_mut().unwrap().read(&mut buf).unwrap_or(0);
+                assert!(got > 0, "round {round}: worker {n} is not answered");
+            }
+            let mut user = b.client(b"GET /now HTTP/1.1\r\n\r\n");
+            b.turn(20);
+            assert!(is_open(&mut user), "round {round}: a user is refused");
+        }
+        assert!(b.net.sockets() <= 48 && b.net.sockets() > 32, "{} sockets", b.net.sockets());
+    }
+
+    /// Guard: after a halt, what waits in the sockets is old: no request of
+    /// then is carried out, and no answer of then believed.
+    #[test]
+    fn after_a_halt_nothing_old_counts() {
+        let mut b = bed(Limits { sockets: 64, idle_ms: 60_000, head_ms: 5_000, stale_ms: 30_000 });
+        let other = TcpListener::bind("127.0.0.1:0").unwrap();
+        let dest = other.local_addr().unwrap();
+        b.net.call(Call { dest, method: "GET", path: "/".into(), body: vec![], timeout_ms: 60_000, tag: 7 });
+        b.turn(50);
+        let (mut far, _) = other.accept().unwrap();
+        far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+        let mut client = b.client(b"GET /now HTTP/1.1\r\n\r\n");
+        // Read, but not acted on yet.
+        for _ in 0..5 {
+            b.net.turn(&mut b.event_loop, Duration::from_millis(10)).unwrap();
+        }
+        b.net.stood_still();
+        let mut events = Vec::new();
+        while let Some(e) = b.net.pop() {
+            events.push(e);
+        }
+        assert!(matches!(&events[..], [Event::Reply { tag: 7, result: Err(CallError::Unknown) }]), "{events:?}");
+        b.turn(20);
+        assert!(!is_open(&mut client) && b.net.sockets() == 0);
+    }
+
     /// Guard: machines that are gone left their connections behind; at the
     /// limit those that live found none, until leases ran out.
     #[test]
