--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -41,6 +41,8 @@
 /// Shares of the burst below and above which writes are scarce and to spare.
 const LOW: f64 = 0.4;
 const SPARE: f64 = 0.6;
+/// How often the logs say how users fared.
+const TOLD_MS: Ms = 5_000;
 const GIVE_WAY_MS: Ms = 8_000;
 
 fn status(result: &Result<Reply, CallError>) -> u16 {
@@ -83,6 +85,10 @@
             self.next_gossip = now + GOSSIP_MS;
             self.gossip(net, now);
         }
+        if now >= self.next_told {
+            self.next_told = now + TOLD_MS;
+            self.tell_users_lot();
+        }
     }
 
     // ---- mirror, leader's key, types -------------------------------------
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -20,6 +20,29 @@
     transport::{CallError, ConnId, Net, Reply},
 };
 
+/// For the logs: users told to come back, since the last time it was said.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Told {
+    pub unavailable: u32,
+    pub over_budget: u32,
+    pub accepted: u32,
+}
+
+impl Node {
+    /// Says how users fared, where some were told to come back.
+    pub fn tell_users_lot(&mut self) {
+        let t = std::mem::take(&mut self.told);
+        if t.unavailable + t.over_budget > 0 {
+            tracing::info!(
+                accepted = t.accepted,
+                over_budget = t.over_budget,
+                unavailable = t.unavailable,
+                "users told to come back"
+            );
+        }
+    }
+}
+
 const TRY_AGAIN_S: u32 = 1;
 
 fn status_word(e: &JobEntry) -> &'static str {
@@ -32,11 +55,13 @@
 }
 
 impl Node {
-    pub fn unavailable(&self, net: &mut Net, conn: ConnId) {
+    pub fn unavailable(&mut self, net: &mut Net, conn: ConnId) {
+        self.told.unavailable += 1;
         net.respond(conn, 503, Some(TRY_AGAIN_S), b"");
     }
 
-    fn over_budget(&self, net: &mut Net, conn: ConnId, wait_ms: u64) {
+    fn over_budget(&mut self, net: &mut Net, conn: ConnId, wait_ms: u64) {
+        self.told.over_budget += 1;
         let s = wait_ms.div_ceil(1_000).clamp(1, 30) as u32;
         net.respond(conn, 429, Some(s), b"");
     }
@@ -99,6 +124,7 @@
             Ok(r) if r.status == 409 => Some(false),
             Ok(r) if r.status == 429 => {
                 self.writes.refused(net.now());
+                self.told.over_budget += 1;
                 net.respond(conn, 429, Some(TRY_AGAIN_S), b"");
                 None
             }
@@ -179,7 +205,10 @@
         result: Result<Reply, CallError>,
     ) {
         match self.wrote(net, conn, &id, record, &result) {
-            Some(true) => self.job_answer(net, conn, 201, &id, "pending"),
+            Some(true) => {
+                self.told.accepted += 1;
+                self.job_answer(net, conn, 201, &id, "pending");
+            }
             Some(false) => self.barrier.join(net.now(), Waiter::Known { conn, id }),
             None => {}
         }
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -10,6 +10,7 @@
 
 use calloop::EventLoop;
 
+use super::users::Told;
 use crate::{
     bookkeeping::{
         barrier::Barrier,
@@ -178,6 +179,8 @@
     pub gossips: u64,
     pub nonce: u64,
     pub budget_leading: Option<bool>,
+    pub told: Told,
+    pub next_told: Ms,
 }
 
 /// The day's time, in ms.
@@ -253,6 +256,8 @@
             gossips: 0,
             nonce,
             budget_leading: None,
+            told: Told::default(),
+            next_told: 0,
             settings,
             operator,
         }
