--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -264,7 +264,7 @@
                     if job.running + job.done == 1 && !inherited {
                         let wait_s = job.age_s(now);
                         let fetched_s = (now - made) as f64 / 1000.0;
-                        tracing::info!(job = &*job.id, kind = ?job.spec.kind, rank = ?job.spec.priority, wait_s, fetched_s, gb = job.spec.image_gb, "first task runs");
+                        tracing::info!(job = &*job.id, kind = ?job.spec.kind, rank = ?job.spec.priority, wait_s, fetched_s, gb = job.spec.image_gb, tasks = job.spec.tasks, "first task runs");
                     }
                 }
                 (true, false) => job.running = job.running.saturating_sub(1),
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -1,7 +1,7 @@
 //! A pass: every waiting job's tree is tried on the picture, in order of
 //! priority; what succeeds becomes part of the wanted state.
 
-use std::rc::Rc;
+use std::{collections::HashMap, rc::Rc};
 
 use super::{
     leader::Leader,
@@ -12,7 +12,7 @@
     bookkeeping::{mirror::JobIx, records::Status},
     protocol::{
         jobs::{JobSpec, Kind, Priority},
-        names::TeamIx,
+        names::{ClassIx, TeamIx},
     },
 };
 
@@ -24,6 +24,9 @@
 /// Users are promised a beginning within four minutes: what has waited this
 /// long goes before all but services.
 const BEGIN_S: f64 = 150.0;
+/// Among those that are due, the largest of a class go as if they had waited
+/// this much longer.
+const LARGEST_S: f64 = 60.0;
 /// The part of an array's tasks with which it begins then.
 const DUE_PART: u32 = 16;
 
@@ -104,6 +107,11 @@
     /// beginning is due, the oldest first; then by priority, work within its
     /// team's guarantee before other work.
     fn pass_order(&self, now: Ms) -> Vec<JobIx> {
+        let mut largest: HashMap<ClassIx, u32> = HashMap::new();
+        for j in self.active.iter().filter_map(|&ix| self.job(ix)) {
+            let most = largest.entry(j.spec.class).or_default();
+            *most = (*most).max(j.spec.tasks);
+        }
         let mut order: Vec<(u8, bool, (u32, f64), JobIx)> = self
             .active
             .iter()
@@ -113,7 +121,12 @@
             .filter(|j| j.spec.kind != Kind::Gang || j.placed == 0)
             .map(|j| match j.spec.priority {
                 Priority::Production => (0, !j.within, self.turn(now, j), j.ix),
-                _ if is_due(now, j) => (1, false, (0, -j.age_s(now)), j.ix),
+                // Guard: when more is due than there is room for, the largest
+                // of a class, hardest to find room for, would come too late.
+                _ if is_due(now, j) => {
+                    let part = f64::from(j.spec.tasks) / f64::from(largest[&j.spec.class].max(1));
+                    (1, false, (0, -j.age_s(now) - LARGEST_S * part), j.ix)
+                }
                 p => (2 + Priority::High as u8 - p as u8, !j.within, self.turn(now, j), j.ix),
             })
             .collect();
@@ -169,7 +182,9 @@
         // Shapes that found no room at all, now or once what is being stopped
         // is gone: room only shrinks within a pass.
         let mut failed = Failed::default();
-        let mut gathering = false;
+        // One gang in each zone at a time collects its machines.
+        let mut gathering = 0;
+        let zones = self.picture.zone_count();
         for ix in order {
             let Some(job) = self.job(ix) else { continue };
             let spec = job.spec.clone();
@@ -227,8 +242,8 @@
                 unmet.push((ix, (n - placed) as u32));
                 let kept = self.picture.reservations();
                 self.make_room(now, ix, &tasks[placed..], &mut failed);
-                if gang && due && !gathering && self.picture.reservations() == kept {
-                    gathering = self.gather(&spec, &tasks, &zone_used);
+                if gang && due && gathering < zones && self.picture.reservations() == kept {
+                    gathering += usize::from(self.gather(&spec, &tasks, &zone_used));
                 }
             } else if let Some(j) = self.job_mut(ix) {
                 j.waiting_since = now;
--- a/src/coordination/picture.rs
+++ b/src/coordination/picture.rs
@@ -148,6 +148,14 @@
         self.pools.iter().position(|p| p.ty == ty && p.zone == zone && p.spot == spot)
     }
 
+    /// Zones in which there are machines.
+    pub fn zone_count(&self) -> usize {
+        let mut zones: Vec<ZoneIx> = self.pools.iter().filter(|p| !p.members.is_empty()).map(|p| p.zone).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones.len()
+    }
+
     pub fn pool_of(&mut self, t: &TypeInfo, zone: ZoneIx, spot: bool) -> usize {
         if let Some(n) = self.find_pool(t.ix, zone, spot) {
             return n;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -571,6 +571,34 @@
     w.until("low priority begins", 245_000 - (w.now - 1_000), began);
 }
 
+/// Guard: when more is due than there is room for, gangs of one machine took
+/// every one that a larger gang could begin to collect, and it came last; one
+/// gang in each zone collects its machines at a time.
+fn the_largest_begin_in_time_in_a_backlog(w: &mut World) {
+    for n in 0..4 {
+        w.add_worker(["a", "b"][n % 2]);
+    }
+    w.run(5_000);
+    let gang = |id: &str, tasks: u32| {
+        let mut s = sub(id, "ensemble", tasks);
+        (s.cpus, s.one_zone, s.priority) = (Some(8.0), Some(true), Some("high".into()));
+        s
+    };
+    for n in 0..260 {
+        w.submit(gang(&format!("j-{}", 10 + n), 1), 7_000);
+    }
+    let from = w.now;
+    for n in 0..4 {
+        w.submit(gang(&format!("j-{n}"), 4), 7_000);
+    }
+    let begun = |w: &World| (0..4).all(|j| w.completed.contains(&format!("j-{j}/0")));
+    w.until("all large ones have begun", from + 240_000 - w.now, begun);
+    assert!(w.completed.len() > 100, "small ones run meanwhile");
+    w.until("the small ones are done", 400_000, |w| {
+        (0..260).all(|n| w.status(&format!("j-{}", 10 + n)) == Status::Done)
+    });
+}
+
 /// Guard: machines were rented without end in one zone for a gang that must be
 /// over two; and half in each for one that must be in one.
 fn machines_come_in_the_zones_that_need_them(w: &mut World) {
@@ -732,6 +760,7 @@
         ("worker back at once", a_worker_that_is_back_at_once),
         ("leaders in a row", leaders_that_follow_one_another_quickly),
         ("the largest", the_largest_begin_in_time),
+        ("the largest, in a backlog", the_largest_begin_in_time_in_a_backlog),
         ("zones of rentals", machines_come_in_the_zones_that_need_them),
         ("leases kept", leases_kept_behind_a_cut),
         ("many hang", many_machines_hang),
