Leases are kept only by controllers that share the cut; duties split by concern

It keeps leases now only when whoever it hears is out of contact too, or nobody else is in its zone and no worker of another zone comes.

--- a/src/coordination/keeping.rs
+++ b/src/coordination/keeping.rs
@@ -22,6 +22,8 @@
 const MARGIN_MS: Ms = 40;
 /// Out of contact for this long before any lease is kept.
 const QUIET_MS: Ms = 2_500;
+/// A controller heard within this time is there.
+const HEARD_MS: Ms = 2_000;
 /// Besides both clocks' drift: for answers and reports on their way.
 const SLACK_MS: f64 = 2_000.0;
 
@@ -172,6 +174,11 @@
         self.synced = self.synced.max(Some(sent));
     }
 
+    /// When contact was last had, as far as is known.
+    pub fn contact(&self) -> Ms {
+        self.synced.unwrap_or(0)
+    }
+
     /// Only out of contact, only for a time, and only while the key stands.
     pub fn may_keep(&self, now: Ms) -> bool {
         let contact = self.synced.is_some_and(|s| now >= s + QUIET_MS && now < s + self.most_ms);
@@ -214,10 +221,55 @@
     }
 }
 
+/// Another controller, as this one hears it.
+#[derive(Debug, Clone, Copy)]
+pub struct Other {
+    /// In this controller's zone.
+    pub near: bool,
+    pub heard: Option<Ms>,
+    /// How long it had been without the state service when it was heard.
+    pub state_age: Ms,
+}
+
+/// Guard: a controller that is alone in being cut off must not hold workers
+/// that would find the leader elsewhere. It keeps leases only when whoever it
+/// hears is out of contact too; or when it hears nobody, has no other in its
+/// zone, and no worker of another zone (`stranger`) since its last contact.
+pub fn shares_the_cut(now: Ms, contact: Ms, others: &[Other], stranger: Option<Ms>) -> bool {
+    let heard = |o: &&Other| o.heard.is_some_and(|h| now < h + HEARD_MS);
+    let mut heard = others.iter().filter(heard).peekable();
+    if heard.peek().is_some() {
+        return heard.all(|o| o.state_age >= QUIET_MS);
+    }
+    !others.iter().any(|o| o.near) && stranger.is_none_or(|s| s < contact + 1_000)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    /// Guard: alone in being cut off, with workers that reach the others.
+    #[test]
+    fn who_shares_a_cut() {
+        const NOW: Ms = 50_000;
+        let o = |near, ago: Option<Ms>, state_age| Other { near, heard: ago.map(|a| NOW - a), state_age };
+        let far = o(false, None, Ms::MAX);
+        // (others, a worker of another zone came so long ago, keeps)
+        let cases: [(&[Other], Option<Ms>, bool); 8] = [
+            (&[o(true, Some(300), 6_000), far, far], None, true),
+            (&[o(true, Some(300), 6_000), o(false, Some(300), 200)], None, false),
+            (&[o(false, Some(300), 6_000), o(false, Some(300), 7_000)], Some(300), true),
+            (&[o(true, Some(9_000), 6_000), far], None, false),
+            (&[o(true, None, 0), far], None, false),
+            (&[far, far], None, true),
+            (&[far, far], Some(300), false),
+            (&[far, far], Some(9_500), true),
+        ];
+        for (n, (others, ago, want)) in cases.into_iter().enumerate() {
+            assert_eq!(shares_the_cut(NOW, NOW - 9_000, others, ago.map(|a| NOW - a)), want, "case {n}");
+        }
+    }
+
     fn ready(most: Ms) -> Keeper {
         let mut k = Keeper::new(most);
         k.saw_key(0, 5, false);
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,7 +1,11 @@
 //! One controller: the layers wired together around the event loop.
 
 mod duties;
+mod gossip;
+mod leading;
+mod replies;
 mod users;
 mod wiring;
+mod workers;
 
 pub use wiring::{run, Node, NodeError};
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -150,6 +150,8 @@
     pub leader: Option<Leader>,
     pub keeper: Keeper,
     pub witness: Witness,
+    /// When a worker of another zone last reported here.
+    pub stranger: Option<Ms>,
     pub reads: Budget,
     /// For users' requests.
     pub writes: Budget,
@@ -234,6 +236,7 @@
             leader: None,
             keeper,
             witness,
+            stranger: None,
             types: Vec::new(),
             peers,
             pending: HashMap::new(),
--- /dev/null
+++ b/src/node/workers.rs
@@ -0,0 +1,105 @@
+//! Workers' reports: answered by the leader, kept up or sent on by others.
+
+use ciborium::Value;
+
+use super::wiring::Node;
+use crate::{
+    bookkeeping::records::{self, LeaderRecord, Status},
+    coordination::{
+        keeping::{shares_the_cut, Other},
+        leader::Answer,
+        model::Ms,
+    },
+    protocol::{
+        cbor,
+        store::Change,
+        workers::{split_task, Redirect, Report, ReportAnswer, TaskReport},
+    },
+    transport::{ConnId, Net},
+};
+
+impl Node {
+    pub fn checkin(&mut self, net: &mut Net, conn: ConnId, bytes: &[u8]) {
+        let report: Report = match cbor::decode(bytes) {
+            Ok(r) => r,
+            Err(e) => {
+                tracing::warn!(error = %e, "a report that can't be read");
+                return net.respond(conn, 400, None, b"");
+            }
+        };
+        let now = net.now();
+        if report.zone != self.settings.domain {
+            self.stranger = Some(now);
+        }
+        let answer = match (&mut self.leader, self.election.leading(now)) {
+            (Some(l), Some(stamp)) if l.stamp == stamp => Some(l.report(now, &report, &self.mirror, &mut self.tables)),
+            _ => None,
+        };
+        match answer {
+            Some(Answer::Ok(a)) => {
+                let bytes = cbor::encode(&a);
+                // Guard: thinking took time; a 200 may only be sent within the lease.
+                if self.election.leading(net.now()).is_some() {
+                    net.respond_report(conn, 200, &bytes);
+                } else {
+                    net.respond(conn, 503, None, b"");
+                }
+            }
+            Some(Answer::Stale) => net.respond(conn, 503, None, b""),
+            Some(Answer::Superseded) => {
+                tracing::warn!(machine = &*report.machine, token = report.token, "a worker has seen a higher token");
+                self.turn_away(net, conn, now);
+            }
+            None if self.keeps(now, &report) => {
+                // Guard: noted before it is sent, so that no leader counts it out.
+                self.keeper.last = now;
+                let bytes = cbor::encode(&ReportAnswer { token: report.token, orders: Vec::new() });
+                net.respond_report(conn, 200, &bytes);
+            }
+            None => self.turn_away(net, conn, now),
+        }
+    }
+
+    /// With no leader to be found, a worker's lease is kept; see `coordination::keeping`.
+    pub(super) fn keeps(&self, now: Ms, r: &Report) -> bool {
+        let cancelled = |t: &TaskReport| {
+            let job = split_task(&t.task).and_then(|(id, _)| self.mirror.find(id));
+            job.is_some_and(|ix| self.mirror.get(ix).status == Status::Cancelled)
+        };
+        if r.token == 0 || !self.keeper.may_keep(now) || self.boss(now).is_some() {
+            return false;
+        }
+        let others: Vec<Other> = self
+            .settings
+            .seeds
+            .iter()
+            .zip(&self.peers)
+            .map(|(s, p)| Other { near: s.domain == self.settings.domain, heard: p.heard, state_age: p.state_age })
+            .collect();
+        shares_the_cut(now, self.keeper.contact(), &others, self.stranger) && !r.tasks.iter().any(cancelled)
+    }
+
+    pub(super) fn turn_away(&mut self, net: &mut Net, conn: ConnId, now: Ms) {
+        self.knocks.push(now);
+        if self.knocks.len() > 10_000 {
+            self.knocks.clear();
+        }
+        net.respond(conn, 421, None, &cbor::encode(&Redirect { report_to: self.boss(now) }));
+    }
+
+    pub(super) fn is_mine(&self, v: &Value) -> bool {
+        v.deserialized::<LeaderRecord>().is_ok_and(|r| r.label == self.settings.label && r.nonce == self.nonce)
+    }
+
+    /// A key under which a controller may keep leases came or went.
+    pub(super) fn keeper_change(&mut self, now: Ms, c: &Change) {
+        let Some(key) = c.write.as_ref().or(c.drop.as_ref()) else { return };
+        let there = c.write.is_some();
+        if *key == records::keeper_key(&self.settings.label) {
+            let mine = c.v.as_ref().is_some_and(|v| self.is_mine(v));
+            self.keeper.saw_key(if there { c.stamp } else { 0 }, c.stamp, mine);
+        } else if let Some(p) = self.peers.iter_mut().find(|p| *key == records::keeper_key(&p.label)) {
+            p.keyless = (!there).then_some(now);
+        }
+    }
+}
--- a/src/transport/net.rs
+++ b/src/transport/net.rs
@@ -710,16 +710,14 @@
         let mut b = bed(Limits { sockets: 64, idle_ms: 60_000, head_ms: 5_000, stale_ms: 30_000 });
         let mut workers: Vec<Option<TcpStream>> = (0..96).map(|_| None).collect();
         for round in 0..4 {
-            for n in 0..workers.len() {
-                let standing = workers[n].as_mut().is_some_and(is_open);
-                if !standing {
-                    workers[n] = Some(b.client(b""));
+            for (n, worker) in workers.iter_mut().enumerate() {
+                if !worker.as_mut().is_some_and(is_open) {
+                    *worker = Some(b.client(b""));
                 }
-                let s = workers[n].as_mut().unwrap();
+                let Some(s) = worker else { continue };
                 s.write_all(b"GET /report HTTP/1.1\r\n\r\n").unwrap();
                 b.turn(5);
-                let mut buf = [0; 1024];
-                let got = workers[n].as_mut().unwrap().read(&mut buf).unwrap_or(0);
+                let got = s.read(&mut [0; 1024]).unwrap_or(0);
                 assert!(got > 0, "round {round}: worker {n} is not answered");
             }
             let mut user = b.client(b"GET /now HTTP/1.1\r\n\r\n");
