Nobody renews a lease that may outlive a cancellation it doesn't know

Cause: a leader's 200 was bound to its own lease alone. While its renewals were answered but its reads of the jobs' records were not (a watch left open, an answer under way, right after an outage), it renewed leases of tasks that other controllers had told users were cancelled. Controllers that keep leases were bound already; now the leader is by the same figure (Keeper::may_renew), unless nothing can be on the machine.

- Watches of the jobs' records wait 3 s, not 10, so that knowledge is fresh.
- Every 200 to a report, also an old one, one that comes before the records are read, or a kept lease, carries halts for what is known as cancelled.
- A confirmed cancellation is told to peers at once, in a frame of its own that goes only to those that have shown in gossip that they read it.
Gossip itself is as it was.
- While all records are read anew, changes count neither as knowledge nor as a read for users.
- Settings whose cancel_s leaves no time beside lease_s are refused.

Case: tests/loopback.rs, nobody_renews_what_may_be_cancelled. The stand-in for the state service keeps open watches open in an outage, as the protocol says; it had answered them. Existing assertions are as they were; the set-up moved into Cluster.

--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -4,7 +4,7 @@
 
 use ciborium::Value;
 
-use super::records::{JobRecord, Status, JOBS};
+use super::records::{job_key, to_value, JobRecord, Status, JOBS};
 use crate::protocol::{
     jobs::JobSpec,
     names::Tables,
@@ -112,6 +112,15 @@
         self.epoch = self.epoch.max(changes.epoch);
     }
 
+    /// Another controller told a user that a job is cancelled: its record stands
+    /// with this stamp, whether it was read here yet or not.
+    pub fn cancelled_elsewhere(&mut self, id: &str, stamp: u64, tables: &mut Tables) {
+        let Some(e) = self.find(id).map(|ix| &self.jobs[ix.at()]) else { return };
+        let Some(record) = e.record.clone().filter(|_| e.status == Status::Pending) else { return };
+        let record = JobRecord { status: Status::Cancelled, ..(*record).clone() };
+        self.put(&job_key(id), &to_value(&record), stamp, tables);
+    }
+
     /// The changes asked for are no longer kept: read everything again.
     pub fn reload(&mut self) {
         self.loaded = false;
@@ -189,10 +198,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::{
-        bookkeeping::records::{job_key, to_value},
-        protocol::{cbor, jobs::Submission, store::Change},
-    };
+    use crate::protocol::{cbor, jobs::Submission, store::Change};
 
     fn record(status: Status) -> Value {
         let bytes = cbor::encode(&crate::protocol::jobs::tests::sample());
@@ -229,6 +235,37 @@
         }
     }
 
+    /// Guard: a peer's word of a cancellation counts at once, and neither it nor
+    /// the record it speaks of turns anything back, in whatever order they come.
+    #[test]
+    fn a_peers_word_of_a_cancellation() {
+        use Status::*;
+        // (record known before, told stamp, record read after, status at the end)
+        let cases = [
+            (Some((Pending, 3)), 7, None, Some(Cancelled)),
+            (Some((Pending, 3)), 7, Some((Cancelled, 7)), Some(Cancelled)),
+            (Some((Cancelled, 7)), 7, None, Some(Cancelled)),
+            (Some((Done, 9)), 7, None, Some(Done)),
+            (None, 7, Some((Cancelled, 7)), Some(Cancelled)),
+            (None, 7, None, None),
+        ];
+        for (n, (before, told, after, want)) in cases.into_iter().enumerate() {
+            let (mut m, mut t) = (Mirror::default(), Tables::default());
+            let mut read = |m: &mut Mirror, t: &mut Tables, r: Option<(Status, u64)>| {
+                if let Some((status, stamp)) = r {
+                    m.apply(&change(status, stamp), t);
+                }
+            };
+            read(&mut m, &mut t, before);
+            m.take_changed();
+            m.cancelled_elsewhere("j-000412", told, &mut t);
+            let first = matches!(before, Some((Pending, _)));
+            assert_eq!(m.take_changed().len(), usize::from(first), "case {n}: the leader is told once");
+            read(&mut m, &mut t, after);
+            assert_eq!(m.find("j-000412").map(|ix| m.get(ix).status), want, "case {n}");
+        }
+    }
+
     #[test]
     fn a_record_that_cannot_be_read_is_left_out() {
         let mut m = Mirror::default();
--- a/src/coordination/keeping.rs
+++ b/src/coordination/keeping.rs
@@ -6,10 +6,11 @@
 //! answers their reports with the token they hold and with no orders. Nothing
 //! new starts by that, and nothing that runs is lost. Two things must hold:
 //!
-//! - What is cancelled is gone in time. A controller keeps leases only for
-//!   `most_ms` after it *sent* its last read of the jobs' records, and none of
-//!   a worker that has a task of a job it knows as cancelled. Cancelled later
-//!   than that read, a task is gone `most_ms` and a lease after it at the latest.
+//! - What is cancelled is gone in time. Whoever answers a worker 200, the leader
+//!   included, does so only for `renewal_ms` after it *sent* its last read of the
+//!   jobs' records, and the answer halts what that read showed as cancelled.
+//!   Cancelled later than that read, a task is gone `renewal_ms` and a lease after
+//!   it at the latest.
 //! - A leader that counts a lease out must know of every such answer.
 //!   [`Keeper`] keeps only while its key stands in the state service, under a
 //!   grant; [`Witness`] believes that a controller kept nothing only for the
@@ -27,11 +28,20 @@
 /// Besides both clocks' drift: for answers and reports on their way.
 const SLACK_MS: f64 = 2_000.0;
 
-/// How long after its last contact a controller may keep leases; 0: never.
-pub fn most_ms(cancel_s: f64, lease_s: f64) -> Ms {
+/// How long after the sending of its last read of the jobs' records a controller
+/// may answer a worker 200: a lease renewed then ends before a cancellation that
+/// the read could not show has to be carried out.
+pub fn renewal_ms(cancel_s: f64, lease_s: f64) -> Ms {
     let most = (cancel_s * (1.0 - DRIFT) - lease_s * (1.0 + DRIFT)) * 1000.0 - SLACK_MS;
-    if most >= 2.0 * QUIET_MS as f64 {
-        most as Ms
+    most.max(0.0) as Ms
+}
+
+/// How long after its last contact a controller that doesn't lead may keep
+/// leases; 0: never.
+pub fn most_ms(cancel_s: f64, lease_s: f64) -> Ms {
+    let most = renewal_ms(cancel_s, lease_s);
+    if most >= 2 * QUIET_MS {
+        most
     } else {
         0
     }
@@ -58,6 +68,7 @@
 /// This controller's own right to keep leases.
 #[derive(Debug)]
 pub struct Keeper {
+    renewal_ms: Ms,
     most_ms: Ms,
     permit: Option<u64>,
     valid_until: Ms,
@@ -74,8 +85,10 @@
 }
 
 impl Keeper {
-    pub fn new(most_ms: Ms) -> Keeper {
+    /// `renewal_ms`: for any answer, the leader's too; `most_ms`: while not leading.
+    pub fn new(renewal_ms: Ms, most_ms: Ms) -> Keeper {
         Keeper {
+            renewal_ms,
             most_ms,
             permit: None,
             valid_until: 0,
@@ -89,6 +102,10 @@
         }
     }
 
+    pub fn renewal_ms(&self) -> Ms {
+        self.renewal_ms
+    }
+
     /// Outlives the time in which leases may be kept by one renewal and more.
     pub fn ttl_ms(&self) -> Ms {
         self.most_ms + 6_000
@@ -179,10 +196,16 @@
         self.synced.unwrap_or(0)
     }
 
+    /// Guard: a 200 sent now can't let a task outlive a cancellation that this
+    /// controller doesn't know of, whether it leads or not.
+    pub fn may_renew(&self, now: Ms) -> bool {
+        self.synced.is_some_and(|s| now < s + self.renewal_ms)
+    }
+
     /// Only out of contact, only for a time, and only while the key stands.
     pub fn may_keep(&self, now: Ms) -> bool {
         let contact = self.synced.is_some_and(|s| now >= s + QUIET_MS && now < s + self.most_ms);
-        contact && self.registered && now < self.valid_until
+        contact && self.may_renew(now) && self.registered && now < self.valid_until
     }
 }
 
@@ -271,7 +294,7 @@
     }
 
     fn ready(most: Ms) -> Keeper {
-        let mut k = Keeper::new(most);
+        let mut k = Keeper::new(most, most);
         k.saw_key(0, 5, false);
         assert_eq!(k.tick(0), Some(Act::Grant));
         k.granted(20, Some(7));
@@ -311,7 +334,32 @@
         let mut k = ready(18_000);
         k.synced(30_000);
         assert!(!k.may_keep(33_000), "never renewed");
-        assert!(Keeper::new(0).tick(0).is_none());
+        assert!(Keeper::new(0, 0).tick(0).is_none());
+    }
+
+    /// Guard: the leader's answers are bound as well. An open watch, an answer
+    /// under way and a restart are no knowledge: only a read that has come back
+    /// counts, and from when it was sent.
+    #[test]
+    fn whoever_answers_knows_what_was_cancelled() {
+        // (cancel_s, lease_s): the last lease renewed ends before what was
+        // cancelled right after the read has to be gone.
+        for (cancel, lease) in [(50.0, 30.0), (66.0, 36.0), (35.0, 30.0), (10.0, 4.0), (30.0, 30.0)] {
+            let most = renewal_ms(cancel, lease);
+            let mut k = Keeper::new(most, 0);
+            assert!(!k.may_renew(0) && !k.may_renew(20), "a restart knows nothing");
+            k.synced(10_000);
+            let last = (10_000..100_000).take_while(|&t| k.may_renew(t)).last();
+            match last {
+                Some(s) => {
+                    assert!(s as f64 + lease * 1_000.5 < 10_000.0 + cancel * 999.5 - 1_500.0, "{cancel} {lease}")
+                }
+                None => assert_eq!(most, 0, "{cancel} {lease}"),
+            }
+            // An older read that comes back later takes nothing away.
+            k.synced(9_000);
+            assert_eq!((10_000..100_000).take_while(|&t| k.may_renew(t)).last(), last);
+        }
     }
 
     /// Guard: a lease is counted out only over a time that every other
--- a/src/coordination/leader/commands.rs
+++ b/src/coordination/leader/commands.rs
@@ -7,7 +7,28 @@
 /// What was sent is sent again after this long without effect.
 const AGAIN_MS: Ms = 2_500;
 
+/// Halts for what runs of jobs that are known as cancelled. Guard: every 200 to
+/// a report renews a lease, so each carries them, whoever answers, and whether
+/// the report is new or the records are read yet.
+pub fn halts_of_cancelled(r: &Report, mirror: &Mirror) -> Vec<Order> {
+    let cancelled = |t: &&TaskReport| {
+        let job = split_task(&t.task).and_then(|(id, _)| mirror.find(id));
+        t.state != TaskState::Exited && job.is_some_and(|ix| mirror.get(ix).status == Status::Cancelled)
+    };
+    let halt = |t: &TaskReport| Order::Halt { task: t.task.clone(), attempt: t.attempt, grace_s: 0.0 };
+    r.tasks.iter().filter(cancelled).map(halt).take(ORDERS).collect()
+}
+
 impl Leader {
+    /// Whether a task may be on the machine, or on its way there: listed by its
+    /// report, placed by a record, or launched by a command that is under way.
+    pub fn may_hold_tasks(&self, r: &Report) -> bool {
+        let listed = r.tasks.iter().any(|t| t.state != TaskState::Exited);
+        let Some(&ix) = self.machine_ix.get(&r.machine) else { return listed || !self.loaded };
+        let m = self.machine(ix);
+        listed || !self.loaded || !m.places.is_empty() || m.call.is_some() || m.answer_open || !m.fenced()
+    }
+
     /// What the worker should be told. `all`: everything that isn't in effect
     /// yet (in the answer to a report); otherwise only what was not sent lately.
     pub fn orders(&mut self, now: Ms, ix: MachineIx, all: bool) -> Vec<Order> {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -13,6 +13,8 @@
 mod places;
 mod reports;
 
+pub use commands::halts_of_cancelled;
+
 use std::{
     collections::{BTreeSet, HashMap, HashSet, VecDeque},
     net::SocketAddr,
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -30,13 +30,13 @@
             // Answering keeps the worker's lease; what it says is taken up
             // from the next report, when the records are known.
             m.renewed = now;
-            return Answer::Ok(ReportAnswer { token: m.token, orders: Vec::new() });
+            return Answer::Ok(ReportAnswer { token: m.token, orders: halts_of_cancelled(r, mirror) });
         }
         let newer = (r.session, r.seq) > (m.session, m.seq);
         self.machines[ix.at()].renewed = now;
         if !newer {
             let token = self.machines[ix.at()].token;
-            return Answer::Ok(ReportAnswer { token, orders: Vec::new() });
+            return Answer::Ok(ReportAnswer { token, orders: halts_of_cancelled(r, mirror) });
         }
         let m = &mut self.machines[ix.at()];
         // The worker took or dropped our last answer before it sent this.
@@ -52,7 +52,14 @@
         }
         m.answered = true;
         self.take_report(now, ix, r, mirror, tables);
-        let orders = self.orders(now, ix, true);
+        let mut orders = halts_of_cancelled(r, mirror);
+        let told = orders.len();
+        for o in self.orders(now, ix, true) {
+            let again = |h: &Order| h.same_halt(&o);
+            if !orders[..told].iter().any(again) {
+                orders.push(o);
+            }
+        }
         let m = &mut self.machines[ix.at()];
         m.answer_open = orders.iter().any(|o| matches!(o, Order::Launch { .. }));
         if orders.iter().any(|o| matches!(o, Order::Reap { .. })) {
@@ -64,6 +71,14 @@
         Answer::Ok(ReportAnswer { token: self.machines[ix.at()].token, orders })
     }
 
+    /// The answer that was made for a report is not sent after all: the worker
+    /// is not deaf because it never shows what was in it.
+    pub fn not_answered(&mut self, machine: &str) {
+        if let Some(&ix) = self.machine_ix.get(machine) {
+            self.machines[ix.at()].answered = false;
+        }
+    }
+
     /// A newer report, from a worker itself or as the answer to a command.
     pub(super) fn take_report(&mut self, now: Ms, ix: MachineIx, r: &Report, mirror: &Mirror, tables: &mut Tables) {
         let ty = tables.types.intern(&r.machine_type);
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -18,7 +18,9 @@
     transport::{CallError, Net, Reply},
 };
 
-const WATCH_MS: u64 = 10_000;
+/// Of the jobs' records, at most: what is known is counted from the sending of
+/// the last watch that came back.
+const WATCH_MS: u64 = 3_000;
 /// Of the leader's key: its end also tells that the state service is there.
 const KEY_WATCH_MS: u64 = 3_000;
 const GOSSIP_MS: Ms = 400;
@@ -84,8 +86,9 @@
             }
         } else if self.jobs_watch.due(now) && self.reads.take(now, 1.0, Urgency::Commit).is_ok() {
             self.jobs_watch.in_flight = true;
-            let path = format!("/changes?under={}&from={}&waitMs={WATCH_MS}", records::JOBS, self.mirror.epoch());
-            self.ask_state(net, Pending::JobsWatch { sent: now }, "GET", path, Vec::new(), WATCH_MS + 2_000);
+            let wait = (self.keeper.renewal_ms() / 4).clamp(250, WATCH_MS);
+            let path = format!("/changes?under={}&from={}&waitMs={wait}", records::JOBS, self.mirror.epoch());
+            self.ask_state(net, Pending::JobsWatch { sent: now }, "GET", path, Vec::new(), wait + 2_000);
         }
     }
 
@@ -114,6 +117,11 @@
     }
 
     pub(super) fn apply_changes(&mut self, sent: Ms, result: &Result<Reply, CallError>) -> bool {
+        // Guard: while all records are read anew, changes since the first page
+        // don't show what later pages hold.
+        if !self.mirror.loaded() {
+            return false;
+        }
         match body::<Changes>(result) {
             Some(c) => {
                 self.mirror.apply(&c, &mut self.tables);
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -264,7 +264,12 @@
         result: Result<Reply, CallError>,
     ) {
         match self.wrote(net, conn, &id, record, &result) {
-            Some(true) => self.job_answer(net, conn, 200, &id, "cancelled"),
+            Some(true) => {
+                if let Some(stamp) = self.mirror.find(&id).map(|ix| self.mirror.get(ix).stamp) {
+                    self.tell_cancelled(net, net.now(), &id, stamp);
+                }
+                self.job_answer(net, conn, 200, &id, "cancelled");
+            }
             // Done or cancelled meanwhile: read, then decide anew.
             Some(false) if tries < 3 => {
                 self.barrier.join(net.now(), Waiter::Abort { conn, id, tries: tries + 1 });
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -1,7 +1,7 @@
 //! The process as a whole: events in, calls out, and which answer belongs to what.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     io,
     net::SocketAddr,
     rc::Rc,
@@ -117,6 +117,8 @@
     pub clock: Option<(u64, Ms)>,
     /// Since when it is known to have no key under which it may keep leases.
     pub keyless: Option<Ms>,
+    /// Its last frame showed that it reads notices.
+    pub reads_notices: bool,
 }
 
 /// A read or watch that is kept going: at most one at a time, again after a pause.
@@ -183,6 +185,8 @@
     pub budget_leading: Option<bool>,
     pub told: Told,
     pub next_told: Ms,
+    /// Cancellations confirmed here lately, to be told to peers.
+    pub notices: VecDeque<(Ms, peers::Cancelled)>,
 }
 
 /// The day's time, in ms.
@@ -216,12 +220,14 @@
                 commits_used: 0.0,
                 clock: None,
                 keyless: None,
+                reads_notices: false,
             })
             .collect();
         let election = Election::new(&settings.label, nonce, operator.leader_ttl_ms);
         let w = &settings.cluster.workers;
         let alone = settings.seeds.is_empty();
-        let keeper = Keeper::new(if alone { 0 } else { keeping::most_ms(w.cancel_s, w.lease_s) });
+        let most_ms = if alone { 0 } else { keeping::most_ms(w.cancel_s, w.lease_s) };
+        let keeper = Keeper::new(keeping::renewal_ms(w.cancel_s, w.lease_s), most_ms);
         let witness = Witness::new(settings.seeds.len());
         let (st, cl) = (&settings.cluster.state, &settings.cluster.cloud);
         Node {
@@ -261,6 +267,7 @@
             budget_leading: None,
             told: Told::default(),
             next_told: 0,
+            notices: VecDeque::new(),
             settings,
             operator,
         }
@@ -476,7 +483,8 @@
 
     fn frame(&mut self, net: &mut Net, bytes: &[u8]) {
         let g = match peers::decode(bytes) {
-            Ok(g) => g,
+            Ok(peers::Frame::Gossip(g)) => g,
+            Ok(peers::Frame::Notice(n)) => return self.take_notice(&n),
             Err(e) => {
                 tracing::debug!(error = %e, "a peer's frame is left out");
                 return;
@@ -489,6 +497,7 @@
             return;
         }
         p.heard = Some(now);
+        p.reads_notices = g.reads_notices();
         p.clock = Some((g.nonce, g.clock_ms));
         // Guard: it speaks for the time up to when it had heard our clock at
         // that reading, however long its frame was on the way.
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -4,16 +4,16 @@
 
 use super::wiring::Node;
 use crate::{
-    bookkeeping::records::{self, LeaderRecord, Status},
+    bookkeeping::records::{self, LeaderRecord},
     coordination::{
         keeping::{shares_the_cut, Other},
-        leader::Answer,
+        leader::{halts_of_cancelled, Answer},
         model::Ms,
     },
     protocol::{
         cbor,
         store::Change,
-        workers::{split_task, Redirect, Report, ReportAnswer, TaskReport},
+        workers::{Redirect, Report, ReportAnswer},
     },
     transport::{ConnId, Net},
 };
@@ -31,18 +31,32 @@
         if report.zone != self.settings.domain {
             self.stranger = Some(now);
         }
-        let answer = match (&mut self.leader, self.election.leading(now)) {
-            (Some(l), Some(stamp)) if l.stamp == stamp => Some(l.report(now, &report, &self.mirror, &mut self.tables)),
+        // Guard: what the mirror shows as cancelled is not launched in the answer.
+        self.feed_leader(now);
+        let stamp = self.election.leading(now);
+        let answer = match &mut self.leader {
+            Some(l) if stamp == Some(l.stamp) => Some(l.report(now, &report, &self.mirror, &mut self.tables)),
             _ => None,
         };
         match answer {
             Some(Answer::Ok(a)) => {
                 let bytes = cbor::encode(&a);
                 // Guard: thinking took time; a 200 may only be sent within the lease.
-                if self.election.leading(net.now()).is_some() {
-                    net.respond_report(conn, 200, &bytes);
-                } else {
-                    net.respond(conn, 503, None, b"");
+                // Guard: nor may it let a task outlive a cancellation that this
+                // controller doesn't know of; where nothing runs, none can.
+                let now = net.now();
+                let fresh = self.keeper.may_renew(now);
+                let entitled = self.election.leading(now).is_some();
+                match &mut self.leader {
+                    Some(l) if entitled && (fresh || !l.may_hold_tasks(&report)) => {
+                        net.respond_report(conn, 200, &bytes);
+                    }
+                    Some(l) => {
+                        tracing::debug!(machine = &*report.machine, entitled, fresh, "a report is not answered");
+                        l.not_answered(&report.machine);
+                        net.respond(conn, 503, None, b"");
+                    }
+                    None => net.respond(conn, 503, None, b""),
                 }
             }
             Some(Answer::Stale) => net.respond(conn, 503, None, b""),
@@ -53,7 +67,10 @@
             None if self.keeps(now, &report) => {
                 // Guard: noted before it is sent, so that no leader counts it out.
                 self.keeper.last = now;
-                let bytes = cbor::encode(&ReportAnswer { token: report.token, orders: Vec::new() });
+                // What is known as cancelled ends with it: a halt may come from
+                // anybody, and the rest of the machine goes on.
+                let orders = halts_of_cancelled(&report, &self.mirror);
+                let bytes = cbor::encode(&ReportAnswer { token: report.token, orders });
                 net.respond_report(conn, 200, &bytes);
             }
             None => self.turn_away(net, conn, now),
@@ -62,10 +79,6 @@
 
     /// With no leader to be found, a worker's lease is kept; see `coordination::keeping`.
     pub(super) fn keeps(&self, now: Ms, r: &Report) -> bool {
-        let cancelled = |t: &TaskReport| {
-            let job = split_task(&t.task).and_then(|(id, _)| self.mirror.find(id));
-            job.is_some_and(|ix| self.mirror.get(ix).status == Status::Cancelled)
-        };
         if r.token == 0 || !self.keeper.may_keep(now) || self.boss(now).is_some() {
             return false;
         }
@@ -76,7 +89,7 @@
             .zip(&self.peers)
             .map(|(s, p)| Other { near: s.domain == self.settings.domain, heard: p.heard, state_age: p.state_age })
             .collect();
-        shares_the_cut(now, self.keeper.contact(), &others, self.stranger) && !r.tasks.iter().any(cancelled)
+        shares_the_cut(now, self.keeper.contact(), &others, self.stranger)
     }
 
     pub(super) fn turn_away(&mut self, net: &mut Net, conn: ConnId, now: Ms) {
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -1,5 +1,9 @@
 //! What controllers tell one another, in `bitcode`. Every frame repeats the
 //! whole picture it speaks of, so a lost one costs nothing but time.
+//!
+//! Gossip is the form that every version reads. A newer form is a frame of its
+//! own, beside gossip, and goes only to a peer whose gossip has shown (`reads`)
+//! that it takes it; what rests on it must hold without it too.
 
 use std::collections::VecDeque;
 
@@ -45,8 +49,43 @@
     pub running: u32,
 }
 
+/// A cancellation that a user was told of: the job's record stands with this stamp.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Cancelled {
+    pub job: String,
+    pub stamp: u64,
+}
+
+/// Cancellations that the sender confirmed lately. They are facts, so late and
+/// repeated frames do no harm.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Notice {
+    pub from: String,
+    pub cancelled: Vec<Cancelled>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Frame {
+    Gossip(Gossip),
+    Notice(Notice),
+}
+
 /// First byte of every frame: the form of what follows.
-const VERSION: u8 = 3;
+const GOSSIP: u8 = 3;
+const NOTICE: u8 = 4;
+
+impl Gossip {
+    /// Says in gossip which forms the sender reads: an echo of nobody, which
+    /// the first version passes over.
+    pub fn reads_mark() -> Echo {
+        Echo { of: String::new(), nonce: u64::from(NOTICE), clock_ms: 0 }
+    }
+
+    /// Whether the sender reads notices.
+    pub fn reads_notices(&self) -> bool {
+        self.echoes.iter().any(|e| e.of.is_empty() && e.nonce >= u64::from(NOTICE))
+    }
+}
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum FrameError {
@@ -58,16 +97,22 @@
     Garbled,
 }
 
-pub fn encode(g: &Gossip) -> Vec<u8> {
-    let mut out = vec![VERSION];
-    out.extend(bitcode::encode(g));
+pub fn encode(f: &Frame) -> Vec<u8> {
+    let (form, bytes) = match f {
+        Frame::Gossip(g) => (GOSSIP, bitcode::encode(g)),
+        Frame::Notice(n) => (NOTICE, bitcode::encode(n)),
+    };
+    let mut out = vec![form];
+    out.extend(bytes);
     out
 }
 
-pub fn decode(bytes: &[u8]) -> Result<Gossip, FrameError> {
+pub fn decode(bytes: &[u8]) -> Result<Frame, FrameError> {
+    let garbled = |_| FrameError::Garbled;
     match bytes.split_first() {
         None => Err(FrameError::Empty),
-        Some((&VERSION, rest)) => bitcode::decode(rest).map_err(|_| FrameError::Garbled),
+        Some((&GOSSIP, rest)) => bitcode::decode(rest).map(Frame::Gossip).map_err(garbled),
+        Some((&NOTICE, rest)) => bitcode::decode(rest).map(Frame::Notice).map_err(garbled),
         Some((&v, _)) => Err(FrameError::Version(v)),
     }
 }
@@ -129,19 +174,32 @@
 
     #[test]
     fn frames_survive_the_way_and_garbage_is_refused() {
-        let g = gossip(7, 1);
-        let bytes = encode(&g);
-        assert_eq!(decode(&bytes), Ok(g));
+        let notice = Notice { from: "a".into(), cancelled: vec![Cancelled { job: "j-1".into(), stamp: 12 }] };
         assert_eq!(decode(&[]), Err(FrameError::Empty));
-        for n in 1..bytes.len() {
-            assert_eq!(decode(&bytes[..n]), Err(FrameError::Garbled), "cut at {n}");
+        for frame in [Frame::Gossip(gossip(7, 1)), Frame::Notice(notice)] {
+            let bytes = encode(&frame);
+            assert_eq!(decode(&bytes), Ok(frame));
+            for n in 1..bytes.len() {
+                assert_eq!(decode(&bytes[..n]), Err(FrameError::Garbled), "cut at {n}");
+            }
+            let mut other = bytes.clone();
+            other[0] = 9;
+            assert_eq!(decode(&other), Err(FrameError::Version(9)));
+            let mut huge = vec![bytes[0]];
+            huge.extend(vec![0xff; 300_000]);
+            assert_eq!(decode(&huge), Err(FrameError::Garbled));
         }
-        let mut other = bytes.clone();
-        other[0] = 9;
-        assert_eq!(decode(&other), Err(FrameError::Version(9)));
-        let mut huge = vec![VERSION];
-        huge.extend(vec![0xff; 300_000]);
-        assert_eq!(decode(&huge), Err(FrameError::Garbled));
+    }
+
+    /// Guard: newer frames go only to peers that have shown that they read
+    /// them, and the mark is no echo that the first version could mistake.
+    #[test]
+    fn who_reads_notices() {
+        let mut g = gossip(7, 1);
+        assert!(!g.reads_notices());
+        g.echoes.push(Gossip::reads_mark());
+        assert!(g.reads_notices());
+        assert_eq!(g.echoes.iter().filter(|e| !e.of.is_empty()).count(), 1);
     }
 
     /// Guard: late frames of a process that is over are no news of the peer.
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -131,13 +131,15 @@
     fn check(&self) -> Result<(), (&'static str, &'static str)> {
         let positive = |x: f64| x.is_finite() && x > 0.0;
         let c = &self.cluster;
-        let table: [(bool, &'static str, &'static str); 12] = [
+        let table: [(bool, &'static str, &'static str); 13] = [
             (!self.label.is_empty(), "label", "must not be empty"),
             (positive(c.workers.report_s), "cluster.workers.report_s", "must be above 0"),
             (positive(c.workers.lease_s), "cluster.workers.lease_s", "must be above 0"),
             (positive(c.workers.gang_wait_s), "cluster.workers.gang_wait_s", "must be above 0"),
             (positive(c.workers.gang_peer_s), "cluster.workers.gang_peer_s", "must be above 0"),
             (positive(c.workers.cancel_s), "cluster.workers.cancel_s", "must be above 0"),
+            // No lease could be renewed without outliving a cancellation.
+            (c.workers.cancel_s >= c.workers.lease_s + 4.0, "cluster.workers.cancel_s", "must be 4 s above lease_s"),
             (positive(c.state.rps), "cluster.state.rps", "must be above 0"),
             (positive(c.state.write_rps), "cluster.state.write_rps", "must be above 0"),
             (positive(c.state.value_kb), "cluster.state.value_kb", "must be above 0"),
@@ -211,6 +213,7 @@
             ("no label", "label = \"n-0\"", "", Some("label")),
             ("wrong type", "txn_ops = 24", "txn_ops = \"many\"", Some("txn_ops")),
             ("zero lease", "lease_s = 30", "lease_s = 0", Some("lease_s")),
+            ("no time to cancel", "cancel_s = 50.0", "cancel_s = 33.0", Some("cancel_s")),
             ("NaN", "lease_s = 30", "lease_s = nan", Some("lease_s")),
             ("bad address", "cloud = \"127.0.0.1:1\"", "cloud = \"here\"", Some("cloud")),
             ("negative team", "gpus = 8.0", "gpus = -8.0", Some("teams")),
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -109,6 +109,16 @@
     },
 }
 
+impl Order {
+    /// Both stop the same attempt, with whatever grace.
+    pub fn same_halt(&self, other: &Order) -> bool {
+        match (self, other) {
+            (Order::Halt { task: a, attempt: x, .. }, Order::Halt { task: b, attempt: y, .. }) => a == b && x == y,
+            _ => false,
+        }
+    }
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 pub struct ReportAnswer {
     #[serde(rename = "baton")]
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -20,7 +20,7 @@
 use shedhook::{
     protocol::{
         cbor as body,
-        store::{Change, Changes, Op, Pair, Txn},
+        store::{Change, Changes, Condition, Op, Pair, Txn},
         workers::{DoRequest, Order, Report, ReportAnswer, TaskReport, TaskState, Why},
     },
     transport::http::{parse_reply, parse_request, write_reply, write_request, Parsed},
@@ -148,12 +148,23 @@
     path.split_once('?')?.1.split('&').find_map(|p| p.split_once('=').filter(|(k, _)| *k == name).map(|(_, v)| v))
 }
 
-/// One door to the store: where `shut`, whoever uses it is refused.
-fn state_service(store: Arc<Mutex<Store>>, shut: Arc<AtomicBool>) -> SocketAddr {
+/// One door to the store, for one controller.
+#[derive(Default)]
+struct Door {
+    /// Whoever uses it is refused.
+    shut: AtomicBool,
+    /// Reads of changed jobs get no answer; all else is served.
+    blind: AtomicBool,
+}
+
+fn state_service(store: Arc<Mutex<Store>>, door: Arc<Door>) -> SocketAddr {
     serve(move |method, path, bytes| {
-        if shut.load(Ordering::Relaxed) {
+        if door.shut.load(Ordering::Relaxed) {
             return (503, Vec::new());
         }
+        while path.starts_with("/changes?under=j/") && door.blind.load(Ordering::Relaxed) {
+            thread::sleep(Duration::from_millis(20));
+        }
         let mut s = store.lock().unwrap();
         s.expire();
         let plain = path.split('?').next().unwrap();
@@ -200,7 +211,10 @@
             loop {
                 let touches = |c: &&Change| c.write.as_ref().or(c.drop.as_ref()).is_some_and(|k| k.starts_with(prefix));
                 let events: Vec<Change> = s.log.iter().filter(|c| c.stamp > from).filter(touches).cloned().collect();
-                if !events.is_empty() || Instant::now() >= until {
+                // In an outage open watches stay open.
+                let blind = prefix == "j/" && door.blind.load(Ordering::Relaxed);
+                let held = blind || door.shut.load(Ordering::Relaxed);
+                if !held && (!events.is_empty() || Instant::now() >= until) {
                     return (200, body::encode(&Changes { epoch: s.epoch, events }));
                 }
                 drop(s);
@@ -237,6 +251,8 @@
     seq: u64,
     token: u64,
     tasks: Vec<(TaskReport, Instant)>,
+    /// When a report that was answered 200 was last sent.
+    renewed: Option<Instant>,
 }
 
 impl Worker {
@@ -295,7 +311,13 @@
 }
 
 fn worker(nodes: Arc<Mutex<Vec<SocketAddr>>>, stop: Arc<AtomicBool>) -> (SocketAddr, Arc<Mutex<Worker>>) {
-    let state = Arc::new(Mutex::new(Worker { addr: "127.0.0.1:1".parse().unwrap(), seq: 0, token: 0, tasks: vec![] }));
+    let state = Arc::new(Mutex::new(Worker {
+        addr: "127.0.0.1:1".parse().unwrap(),
+        seq: 0,
+        token: 0,
+        tasks: vec![],
+        renewed: None,
+    }));
     let shared = state.clone();
     let addr = serve(move |_, path, bytes| {
         let mut w = shared.lock().unwrap();
@@ -319,11 +341,13 @@
                 continue;
             }
             let report = shared.lock().unwrap().report();
+            let sent = Instant::now();
             match call(nodes[at % nodes.len()], "POST", "/checkin", &body::encode(&report)) {
                 Some((200, bytes)) => {
                     let a: ReportAnswer = body::decode(&bytes).unwrap();
                     let mut w = shared.lock().unwrap();
                     if a.token >= w.token {
+                        w.renewed = Some(sent);
                         w.obey(a.token, &a.orders);
                     }
                 }
@@ -403,44 +427,169 @@
     Some(word)
 }
 
-#[test]
-fn three_controllers_serve_fail_and_return() {
-    let store = Arc::new(Mutex::new(Store::default()));
-    let shut: Vec<Arc<AtomicBool>> = (0..3).map(|_| Arc::new(AtomicBool::new(false))).collect();
-    let doors: Vec<SocketAddr> = shut.iter().map(|s| state_service(store.clone(), s.clone())).collect();
-    let addrs = Arc::new(Mutex::new(Vec::new()));
-    let stop = Arc::new(AtomicBool::new(false));
-    let (worker_addr, worker_state) = worker(addrs.clone(), stop.clone());
-    let cloud = cloud(worker_addr);
-    let dir = std::env::temp_dir().join(format!("shedhook-loopback-{}", std::process::id()));
-    fs::create_dir_all(&dir).unwrap();
-    let ports: Vec<(SocketAddr, SocketAddr)> = (0..3).map(|_| (free_port(), free_port())).collect();
-    let mut nodes: Vec<Node> = (0..3)
-        .map(|n| {
-            let mut text = format!(
-                "label = \"n-{n}\"\ndomain = \"a\"\nclient_listen = \"{}\"\ncluster_listen = \"{}\"\n",
-                ports[n].0, ports[n].1
-            );
-            for m in (0..3).filter(|m| *m != n) {
-                text += &format!("[[seeds]]\nlabel = \"n-{m}\"\ndomain = \"a\"\nendpoint = \"{}\"\n", ports[m].1);
-            }
-            text += &format!("[outside]\ncloud = \"{cloud}\"\nstate = \"{}\"\n", doors[n]);
-            text += "[cluster]\nzones = [\"a\"]\n[[cluster.teams]]\nname = \"red\"\n\
-                [cluster.workers]\nreport_s = 0.3\nlease_s = 30\ngang_wait_s = 40\ngang_peer_s = 8\ncancel_s = 50\n\
-                [cluster.state]\nrps = 1000\nwrite_rps = 500\nvalue_kb = 16\ntxn_ops = 24\n\
-                [cluster.cloud]\nrps = 50\nlist_lag_s = 1\n[cluster.limits]\nsockets = 500\n";
-            let file = dir.join(format!("n-{n}.toml"));
-            fs::write(&file, text).unwrap();
-            Node { client: ports[n].0, file, child: None }
+/// Three controllers, a worker, and all that they need.
+struct Cluster {
+    store: Arc<Mutex<Store>>,
+    doors: Vec<Arc<Door>>,
+    worker: Arc<Mutex<Worker>>,
+    nodes: Vec<Node>,
+    stop: Arc<AtomicBool>,
+    dir: PathBuf,
+}
+
+impl Cluster {
+    fn start(name: &str, lease_s: u32, cancel_s: u32) -> Cluster {
+        let store = Arc::new(Mutex::new(Store::default()));
+        let doors: Vec<Arc<Door>> = (0..3).map(|_| Arc::default()).collect();
+        let at: Vec<SocketAddr> = doors.iter().map(|d| state_service(store.clone(), d.clone())).collect();
+        let addrs = Arc::new(Mutex::new(Vec::new()));
+        let stop = Arc::new(AtomicBool::new(false));
+        let (worker_addr, worker) = worker(addrs.clone(), stop.clone());
+        let cloud = cloud(worker_addr);
+        let dir = std::env::temp_dir().join(format!("shedhook-{name}-{}", std::process::id()));
+        fs::create_dir_all(&dir).unwrap();
+        let ports: Vec<(SocketAddr, SocketAddr)> = (0..3).map(|_| (free_port(), free_port())).collect();
+        let mut nodes: Vec<Node> = (0..3)
+            .map(|n| {
+                let mut text = format!(
+                    "label = \"n-{n}\"\ndomain = \"a\"\nclient_listen = \"{}\"\ncluster_listen = \"{}\"\n",
+                    ports[n].0, ports[n].1
+                );
+                for m in (0..3).filter(|m| *m != n) {
+                    text += &format!("[[seeds]]\nlabel = \"n-{m}\"\ndomain = \"a\"\nendpoint = \"{}\"\n", ports[m].1);
+                }
+                text += &format!("[outside]\ncloud = \"{cloud}\"\nstate = \"{}\"\n", at[n]);
+                text += &format!(
+                    "[cluster]\nzones = [\"a\"]\n[[cluster.teams]]\nname = \"red\"\n\
+                    [cluster.workers]\nreport_s = 0.3\nlease_s = {lease_s}\ngang_wait_s = 40\ngang_peer_s = 8\n\
+                    cancel_s = {cancel_s}\n[cluster.state]\nrps = 1000\nwrite_rps = 500\nvalue_kb = 16\n\
+                    txn_ops = 24\n[cluster.cloud]\nrps = 50\nlist_lag_s = 1\n[cluster.limits]\nsockets = 500\n"
+                );
+                let file = dir.join(format!("n-{n}.toml"));
+                fs::write(&file, text).unwrap();
+                Node { client: ports[n].0, file, child: None }
+            })
+            .collect();
+        for n in &mut nodes {
+            n.start();
+        }
+        *addrs.lock().unwrap() = nodes.iter().map(|n| n.client).collect();
+        for n in &nodes {
+            wait_for("ready", || (call(n.client, "GET", "/ready", &[])?.0 == 200).then_some(()));
+        }
+        Cluster { store, doors, worker, nodes, stop, dir }
+    }
+
+    /// Whoever answers the worker's reports.
+    fn leader(&self) -> usize {
+        wait_for("a leader", || {
+            let report = body::encode(&self.worker.lock().unwrap().report());
+            self.nodes.iter().position(|n| call(n.client, "POST", "/checkin", &report).is_some_and(|a| a.0 == 200))
         })
-        .collect();
-    for n in &mut nodes {
-        n.start();
     }
-    *addrs.lock().unwrap() = nodes.iter().map(|n| n.client).collect();
-    for n in &nodes {
-        wait_for("ready", || (call(n.client, "GET", "/ready", &[])?.0 == 200).then_some(()));
+
+    fn runs(&self, job: &str) -> usize {
+        let w = self.worker.lock().unwrap();
+        w.tasks.iter().filter(|(t, _)| t.task.starts_with(job) && t.state == TaskState::Running).count()
     }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Guard: a leader whose lease is renewed, but whose reads of the jobs' records
+/// hang, answers no worker with tasks beyond the time at which a cancellation
+/// that it can't know of would be outlived; a machine with nothing on it is
+/// answered all the same. And: told by a peer, or by its own read, whoever hears
+/// the workers stops what is cancelled at once, and that alone.
+#[test]
+fn nobody_renews_what_may_be_cancelled() {
+    const LEASE_S: u32 = 4;
+    const CANCEL_S: u32 = 14;
+    let c = Cluster::start("cancelled", LEASE_S, CANCEL_S);
+    for id in ["j-100001", "j-100002", "j-100003"] {
+        let accepted = || call(c.nodes[0].client, "POST", "/api/jobs", &job(id, "service", 2)).filter(|a| a.0 == 201);
+        wait_for("accepted", accepted);
+    }
+    let all = || ["j-100001", "j-100002", "j-100003"].iter().all(|j| c.runs(j) == 2);
+    wait_for("all run", || all().then_some(()));
+
+    // Refused alone, it is told by the controller that confirmed.
+    let leader = c.leader();
+    let other = c.nodes[(leader + 1) % 3].client;
+    c.doors[leader].shut.store(true, Ordering::Relaxed);
+    for n in c.nodes.iter() {
+        status(n.client, "j-100002"); // a question makes a controller read
+    }
+    assert_eq!(call(other, "POST", "/api/jobs/j-100001/abort", &[]).map(|a| a.0), Some(200));
+    let told = Instant::now();
+    c.doors.iter().for_each(|d| d.shut.store(true, Ordering::Relaxed));
+    wait_for("what a peer told of is gone", || (c.runs("j-100001") == 0).then_some(()));
+    assert!(told.elapsed() < Duration::from_secs(3), "gone after {:?}", told.elapsed());
+    // In the outage the rest goes on, answered by whoever may, for a time.
+    thread::sleep(Duration::from_millis(4_500).saturating_sub(told.elapsed()));
+    assert_eq!((c.runs("j-100002"), c.runs("j-100003")), (2, 2));
+    let renewed = || c.worker.lock().unwrap().renewed.unwrap();
+    assert!(renewed().elapsed() < Duration::from_secs(2), "leases are kept for a while");
+    thread::sleep(Duration::from_secs(u64::from(CANCEL_S - LEASE_S)).saturating_sub(told.elapsed()));
+    let last = renewed();
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(renewed(), last, "nobody renews beyond the bound");
+    c.doors.iter().for_each(|d| d.shut.store(false, Ordering::Relaxed));
+    wait_for("answered again", || (renewed() > last).then_some(()));
+
+    // Its reads hang while its lease goes on; nobody can tell it.
+    let leader = c.leader();
+    c.doors[leader].blind.store(true, Ordering::Relaxed);
+    let key = "j/j-100002";
+    let confirmed = {
+        let mut s = c.store.lock().unwrap();
+        let (record, stamp, _) = s.keys[key].clone();
+        let mut v = record;
+        for (k, x) in v.as_map_mut().unwrap() {
+            if k.as_text() == Some("st") {
+                *x = Value::Text("c".into());
+            }
+        }
+        let txn = Txn {
+            conditions: vec![Condition { key: key.into(), stamp }],
+            writes: vec![Op::Put { key: key.into(), v, permit: None }],
+        };
+        assert_eq!(s.txn(txn).0, 200);
+        Instant::now()
+    };
+    let bound = Duration::from_secs(u64::from(CANCEL_S - LEASE_S));
+    thread::sleep(bound);
+    let last = renewed();
+    let report = |tasks: Vec<TaskReport>, machine: &str| {
+        let w = c.worker.lock().unwrap();
+        let (addr, token) = (w.addr.to_string(), w.token);
+        let (machine, machine_type, zone) = (machine.to_owned(), "m".into(), "a".into());
+        let r =
+            Report { machine, addr, machine_type, zone, spot: false, session: 1, seq: 1, token, notice_s: None, tasks };
+        body::encode(&r)
+    };
+    let asks = |bytes: &[u8]| call(c.nodes[leader].client, "POST", "/checkin", bytes).map(|a| a.0);
+    let runs = TaskReport { task: "j-100002/0".into(), attempt: 1, state: TaskState::Running, why: None, saved: None };
+    assert_eq!(asks(&report(vec![runs], "i-000002")), Some(503), "it may hold what is cancelled");
+    assert_eq!(asks(&report(vec![], "i-000003")), Some(200), "nothing runs there, and it still leads");
+    thread::sleep(Duration::from_secs(2));
+    assert_eq!(renewed(), last, "renewed {:?} after the confirmation", renewed() - confirmed);
+    assert!(last < confirmed + bound, "renewed {:?} after the confirmation", last - confirmed);
+    c.doors[leader].blind.store(false, Ordering::Relaxed);
+    wait_for("what it reads of is gone", || (c.runs("j-100002") == 0).then_some(()));
+    assert_eq!(c.runs("j-100003"), 2, "nothing else is");
+}
+
+#[test]
+fn three_controllers_serve_fail_and_return() {
+    let mut c = Cluster::start("loopback", 30, 50);
+    let (worker_state, shut) = (c.worker.clone(), c.doors.clone());
+    let nodes = &mut c.nodes;
     let first = nodes[0].client;
 
     // What can't be taken is told at once, and how.
@@ -469,10 +618,10 @@
 
     // A job is taken once, whoever is asked, and done for everybody.
     assert_eq!(call(first, "POST", "/api/jobs", &job("j-000001", "batch", 3)).map(|a| a.0), Some(201));
-    for n in &nodes {
+    for n in nodes.iter() {
         assert_eq!(call(n.client, "POST", "/api/jobs", &job("j-000001", "batch", 3)).map(|a| a.0), Some(200));
     }
-    for n in &nodes {
+    for n in nodes.iter() {
         wait_for("done", || (status(n.client, "j-000001")? == "done").then_some(()));
     }
 
@@ -498,13 +647,13 @@
     wait_for("replicas gone", || (running(&worker_state.lock().unwrap()) == 0).then_some(()));
 
     // All gone and back: nothing is forgotten.
-    for n in &mut nodes {
+    for n in nodes.iter_mut() {
         n.kill();
     }
-    for n in &mut nodes {
+    for n in nodes.iter_mut() {
         n.start();
     }
-    for n in &nodes {
+    for n in nodes.iter() {
         wait_for("ready again", || (call(n.client, "GET", "/ready", &[])?.0 == 200).then_some(()));
         assert_eq!(status(n.client, "j-000001").as_deref(), Some("done"));
         assert_eq!(status(n.client, "j-100001").as_deref(), Some("cancelled"));
@@ -516,7 +665,7 @@
     let report = |worker: &Arc<Mutex<Worker>>| body::encode(&worker.lock().unwrap().report());
     let leads = |n: &Node| call(n.client, "POST", "/checkin", &report(&worker_state)).is_some_and(|a| a.0 == 200);
     let leader = wait_for("a leader again", || nodes.iter().position(leads));
-    shut[leader].store(true, Ordering::Relaxed);
+    shut[leader].shut.store(true, Ordering::Relaxed);
     for n in (0..3).filter(|n| *n != leader) {
         nodes[n].kill();
     }
@@ -537,16 +686,14 @@
     assert_eq!(call(alone, "POST", "/api/jobs", &job("j-000003", "batch", 1)).map(|a| a.0), Some(503));
 
     // Once that is over, every question is answered, there and elsewhere.
-    shut[leader].store(false, Ordering::Relaxed);
+    shut[leader].shut.store(false, Ordering::Relaxed);
     for n in nodes.iter_mut().filter(|n| n.child.is_none()) {
         n.start();
     }
-    for n in &nodes {
+    for n in nodes.iter() {
         wait_for("answers again", || (status(n.client, "j-000002")? == "done").then_some(()));
         let taken = || call(n.client, "POST", "/api/jobs", &job("j-000004", "batch", 1)).filter(|a| a.0 < 300);
         wait_for("takes jobs again", taken);
         wait_for("runs them", || (status(n.client, "j-000004")? == "done").then_some(()));
     }
-    stop.store(true, Ordering::Relaxed);
-    let _ = fs::remove_dir_all(&dir);
 }
