Claims carried out late, slow renewals, machines that reach nobody

- A claim of the leader's key that is carried out late, under a grant given up meanwhile, was taken for one under the grant that is renewed now.
The key would have gone with the old grant while this controller led on.
The key's nonce now names the grant too; the same for the keys under which leases are kept.
Old controllers compare a key with their own only, so they read it as before.
- Renewals waited 0.7 s for an answer, always: where the service takes longer, the leadership was lost again and again.
They wait twice as long as answers take.
- A machine that reaches no controller, but answers calls, took new work in every session and lost it with each lease.
New work needs a report a moment ago.

Cases: election::tests::a_claim_carried_out_under_an_earlier_grant, renewals_wait_as_long_as_answers_take; rules table, "mute". In who_may_stand the late claim's record is now made by Election::record, since a key that names no grant no longer counts: what it asserts is the same.

--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -251,7 +251,7 @@
         ];
         for (n, (before, told, after, want)) in cases.into_iter().enumerate() {
             let (mut m, mut t) = (Mirror::default(), Tables::default());
-            let mut read = |m: &mut Mirror, t: &mut Tables, r: Option<(Status, u64)>| {
+            let read = |m: &mut Mirror, t: &mut Tables, r: Option<(Status, u64)>| {
                 if let Some((status, stamp)) = r {
                     m.apply(&change(status, stamp), t);
                 }
--- a/src/coordination/election.rs
+++ b/src/coordination/election.rs
@@ -1,7 +1,7 @@
 //! Leadership: one key under a grant of the state service.
 //!
-//! This controller leads while the key names it (label *and* this start's
-//! nonce) and its grant is provably alive. The grant's end is counted on the
+//! This controller leads while the key names it (label, this start's nonce *and*
+//! the grant it holds) and that grant is provably alive. The grant's end is counted on the
 //! steady clock from when the renewal was *sent*, less drift: the service
 //! counts from a later moment, so it can't have given the grant up before.
 
@@ -11,6 +11,8 @@
 const DRIFT: f64 = 0.002;
 const MARGIN_MS: u64 = 40;
 const STEP_ASIDE_MS: u64 = 20_000;
+/// How long a renewal's answer is waited for, where answers come quickly.
+const PATIENCE_MS: u64 = 700;
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Act {
@@ -46,6 +48,7 @@
     flight: Flight,
     retry_at: u64,
     aside_until: u64,
+    patience_ms: u64,
 }
 
 impl Election {
@@ -61,16 +64,33 @@
             flight: Flight::None,
             retry_at: 0,
             aside_until: 0,
+            patience_ms: PATIENCE_MS,
         }
     }
 
+    /// How long to wait for a renewal's answer: an answer that comes late is
+    /// better than none, where the service is slow; where it isn't, one that
+    /// was lost is asked for again in time.
+    pub fn patience_ms(&self) -> u64 {
+        self.patience_ms
+    }
+
+    /// What the key says when it was written under this grant. Guard: a claim
+    /// that is carried out late, under a grant that was given up meanwhile, is
+    /// not taken for one under the grant that is renewed now: the key would go
+    /// with the old grant, unnoticed.
+    pub fn record(&self, permit: u64) -> LeaderRecord {
+        LeaderRecord { label: self.label.clone(), nonce: self.nonce.wrapping_add(permit) }
+    }
+
     pub fn ttl_ms(&self) -> u64 {
         self.ttl_ms
     }
 
     fn mine(&self) -> Option<u64> {
+        let permit = self.permit?;
         match &self.key {
-            Some((Some(r), stamp)) if r.label == self.label && r.nonce == self.nonce => Some(*stamp),
+            Some((Some(r), stamp)) if *r == self.record(permit) => Some(*stamp),
             _ => None,
         }
     }
@@ -170,7 +190,10 @@
         let Flight::Renew { sent } = self.flight else { return };
         self.flight = Flight::None;
         match result {
-            Some(true) => self.valid_until = self.valid_until.max(self.alive_until(sent)),
+            Some(true) => {
+                self.valid_until = self.valid_until.max(self.alive_until(sent));
+                self.patience_ms = (2 * now.saturating_sub(sent)).clamp(PATIENCE_MS, self.most_patience());
+            }
             Some(false) => {
                 self.permit = None;
                 self.valid_until = 0;
@@ -178,12 +201,19 @@
                 self.key = self.key.take().map(|(_, stamp)| (None, stamp));
             }
             None => {
+                if now >= sent + self.patience_ms {
+                    self.patience_ms = (2 * self.patience_ms).min(self.most_patience());
+                }
                 self.last_renewal = 0;
                 self.retry_at = now + 250;
             }
         }
     }
 
+    fn most_patience(&self) -> u64 {
+        (self.ttl_ms * 4 / 5).max(PATIENCE_MS)
+    }
+
     /// `Some(stamp)`: the key is ours at that stamp. None: lost or unknown;
     /// the watch tells which.
     pub fn claimed(&mut self, now: u64, stamp: Option<u64>) {
@@ -193,8 +223,8 @@
         self.flight = Flight::None;
         match stamp {
             Some(s) => {
-                let r = LeaderRecord { label: self.label.clone(), nonce: self.nonce };
-                self.saw_key(now, Some(r), s);
+                let r = self.permit.map(|p| self.record(p));
+                self.saw_key(now, r, s);
             }
             None => self.retry_at = now + 300,
         }
@@ -258,6 +288,54 @@
         assert_eq!((e.leading(6_270), e.holds_key()), (None, None));
     }
 
+    /// Guard: a claim without an answer is carried out after its grant was given
+    /// up for another: the key is ours by name, and ends with the old grant.
+    #[test]
+    fn a_claim_carried_out_under_an_earlier_grant() {
+        let mut e = Election::new("a", 1, TTL);
+        e.saw_key(0, None, 1);
+        assert_eq!(e.tick(0), Some(Act::Grant));
+        e.granted(10, Some(7));
+        assert_eq!(e.tick(10), Some(Act::Claim { permit: 7, expect: 0 }));
+        let early = e.record(7);
+        e.claimed(2_500, None);
+        assert_eq!(e.tick(2_900), Some(Act::Grant), "the first grant has too little left");
+        e.granted(2_910, Some(8));
+        e.saw_key(2_920, Some(early), 5);
+        assert_eq!((e.leading(2_920), e.holds_key()), (None, None));
+        assert_eq!(e.tick(2_930), Some(Act::Claim { permit: 8, expect: 5 }), "written anew, under the grant it holds");
+        e.claimed(2_940, Some(6));
+        assert_eq!(e.leading(2_940), Some(6));
+    }
+
+    /// Guard: where the service takes over a second to answer, renewals that
+    /// were never waited for cost the leadership again and again.
+    #[test]
+    fn renewals_wait_as_long_as_answers_take() {
+        // (answers take so long, leads to the end)
+        for (took, leads) in [(20, true), (900, true), (1_400, true), (1_900, true), (4_000, false)] {
+            let mut e = Election::new("a", 1, TTL);
+            lead(&mut e);
+            let mut flight: Option<u64> = None;
+            let mut lost = 0;
+            for now in (30..60_000).step_by(10) {
+                if let Some(sent) = flight {
+                    let patience = e.patience_ms();
+                    if now >= sent + took.min(patience) {
+                        flight = None;
+                        e.renewed(now, (took <= patience).then_some(true));
+                    }
+                } else if let Some(act) = e.tick(now) {
+                    assert_eq!(act, Act::Renew(7));
+                    flight = Some(now);
+                }
+                // While it finds out how slow it is, it may stand still once.
+                lost += u32::from(now > 10_000 && e.leading(now).is_none());
+            }
+            assert_eq!(lost == 0, leads, "answers after {took} ms: {lost} times not leading");
+        }
+    }
+
     #[test]
     fn who_may_stand() {
         // (key seen, expected act)
@@ -284,7 +362,7 @@
         // A claim with no answer that was applied late still counts, by the watch.
         e.claimed(5, None);
         assert_eq!(e.leading(6), None);
-        e.saw_key(50, Some(LeaderRecord { label: "a".into(), nonce: 1 }), 9);
+        e.saw_key(50, Some(e.record(8)), 9);
         assert_eq!(e.leading(51), Some(9));
         // An older sight of the key changes nothing.
         e.saw_key(60, Some(other(1)), 4);
--- a/src/coordination/keeping.rs
+++ b/src/coordination/keeping.rs
@@ -102,6 +102,13 @@
         }
     }
 
+    /// What its key holds when it was written under the grant it has now, by this
+    /// start of the process. Guard: as with the leader's key, one that was written
+    /// late under an earlier grant ends with that grant, so it doesn't count.
+    pub fn mark(&self, nonce: u64) -> Option<u64> {
+        self.permit.map(|p| nonce.wrapping_add(p))
+    }
+
     pub fn renewal_ms(&self) -> Ms {
         self.renewal_ms
     }
--- a/src/coordination/leader/leases.rs
+++ b/src/coordination/leader/leases.rs
@@ -83,7 +83,9 @@
         let is_there = matches!(m.life, Life::Up | Life::Returning) && m.session != 0;
         let t = if is_there { self.type_of(m) } else { None };
         let open = m.life == Life::Up
-            && m.heard.is_some_and(|h| now < h + 2 * self.cfg.report_ms + 500)
+            // Guard: a machine that reaches no controller answers calls, but its
+            // lease is running out: what starts there would soon be lost.
+            && m.reported.is_some_and(|r| now < r + 2 * self.cfg.report_ms + 500)
             // Guard: it has shown our token, so it hears us. A copy of an old
             // report, of a machine that was handed back, say, can't show it.
             && m.fenced()
--- a/src/coordination/leader/reports.rs
+++ b/src/coordination/leader/reports.rs
@@ -39,6 +39,7 @@
             return Answer::Ok(ReportAnswer { token, orders: halts_of_cancelled(r, mirror) });
         }
         let m = &mut self.machines[ix.at()];
+        m.reported = Some(now);
         // The worker took or dropped our last answer before it sent this.
         m.answer_open = false;
         // Guard: a worker that takes an answer shows its token in the next
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -294,8 +294,10 @@
     pub answered: bool,
     pub unheeded: u32,
     pub unheeded_at: Ms,
-    /// When its last report came.
+    /// When its last report came, by itself or as the answer to a call.
     pub heard: Option<Ms>,
+    /// When its last report came by itself.
+    pub reported: Option<Ms>,
     /// When the last 200 went to one of its reports, by us or anyone before.
     pub renewed: Ms,
     /// A probe is under way; probes in a row that went unanswered.
@@ -343,6 +345,7 @@
             unheeded: 0,
             unheeded_at: 0,
             heard: None,
+            reported: None,
             renewed: now,
             probing: false,
             probe_fails: 0,
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -361,11 +361,12 @@
                 self.ask_state(net, Pending::Grant, "POST", "/grants".into(), body, 1_500);
             }
             Act::Renew(p) => {
-                self.ask_state(net, Pending::Renew, "POST", format!("/grants/{p}/renew"), Vec::new(), 700);
+                let patience = self.election.patience_ms();
+                self.ask_state(net, Pending::Renew, "POST", format!("/grants/{p}/renew"), Vec::new(), patience);
             }
             Act::Claim { permit, expect } => {
                 use crate::protocol::store::{Condition, Op, Txn};
-                let rec = LeaderRecord { label: self.settings.label.clone(), nonce: self.nonce };
+                let rec = self.election.record(permit);
                 let txn = Txn {
                     conditions: vec![Condition { key: records::LEADER.into(), stamp: expect }],
                     writes: vec![Op::Put {
@@ -396,7 +397,8 @@
                 self.ask_state(net, Pending::KeeperRenew, "POST", format!("/grants/{p}/renew"), Vec::new(), 1_500);
             }
             keeping::Act::Register { permit, expect } => {
-                let rec = LeaderRecord { label: self.settings.label.clone(), nonce: self.nonce };
+                let nonce = self.keeper.mark(self.nonce).unwrap_or(self.nonce);
+                let rec = LeaderRecord { label: self.settings.label.clone(), nonce };
                 let key = records::keeper_key(&self.settings.label);
                 let txn = Txn {
                     conditions: vec![Condition { key: key.clone(), stamp: expect }],
--- a/src/node/workers.rs
+++ b/src/node/workers.rs
@@ -100,8 +100,10 @@
         net.respond(conn, 421, None, &cbor::encode(&Redirect { report_to: self.boss(now) }));
     }
 
+    /// Whether the value of this controller's own key is of the grant it holds.
     pub(super) fn is_mine(&self, v: &Value) -> bool {
-        v.deserialized::<LeaderRecord>().is_ok_and(|r| r.label == self.settings.label && r.nonce == self.nonce)
+        let ours = |r: LeaderRecord| r.label == self.settings.label && Some(r.nonce) == self.keeper.mark(self.nonce);
+        v.deserialized::<LeaderRecord>().is_ok_and(ours)
     }
 
     /// A key under which a controller may keep leases came or went.
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -9,7 +9,7 @@
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
         Arc, Mutex,
     },
     thread,
@@ -360,8 +360,17 @@
 
 // ---- the controllers -------------------------------------------------------
 
+/// A port below those that the system gives to outgoing connections: one of
+/// theirs could be taken again before the controller listens on it.
 fn free_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let n = (std::process::id() * 64 + NEXT.fetch_add(1, Ordering::Relaxed)) % 12_000;
+        let addr = SocketAddr::from(([127, 0, 0, 1], 20_000 + n as u16));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 struct Node {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -505,6 +505,26 @@
     w.until("nothing waits for it", 60_000, |w| w.status("j-2") == Status::Done);
 }
 
+/// Guard: machines that reach no controller, but answer its calls, took new
+/// work in every new session and lost it with the next lease.
+fn machines_that_reach_nobody_take_nothing_new(w: &mut World) {
+    for zone in ["a", "b", "a", "b"] {
+        w.add_worker(zone);
+    }
+    w.run(5_000);
+    w.workers.iter_mut().take(4).for_each(|x| x.mute = true);
+    w.run(8_000);
+    w.submit(sub("j-1", "service", 16), 0);
+    w.until("all run", 20_000, |w| (0..16).all(|n| w.where_is(&format!("j-1/{n}")).is_some_and(|m| m >= 4)));
+    let starts = w.starts;
+    w.run(LEASE * 3);
+    assert_eq!(w.starts, starts, "nothing is lost and started anew");
+    w.workers.iter_mut().for_each(|x| x.mute = false);
+    w.run(5_000);
+    w.submit(sub("j-2", "service", 4), 0);
+    w.until("they take work again", 20_000, |w| (0..4).all(|n| w.where_is(&format!("j-2/{n}")).is_some()));
+}
+
 /// A worker comes back with a new session before anybody missed it.
 fn a_worker_that_is_back_at_once(w: &mut World) {
     w.submit(sub("j-1", "service", 4), 0);
@@ -757,6 +777,7 @@
         ("ghost", a_copy_from_a_machine_that_went_back),
         ("old copy first", an_old_copy_is_the_first_that_a_leader_hears),
         ("deaf", a_machine_that_hears_nothing),
+        ("mute", machines_that_reach_nobody_take_nothing_new),
         ("worker back at once", a_worker_that_is_back_at_once),
         ("leaders in a row", leaders_that_follow_one_another_quickly),
         ("the largest", the_largest_begin_in_time),
