--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -519,12 +519,12 @@
 fn nobody_renews_what_may_be_cancelled() {
     const LEASE_S: u32 = 4;
     const CANCEL_S: u32 = 14;
-    let c = Cluster::start("cancelled", LEASE_S, CANCEL_S);
-    for id in ["j-100001", "j-100002", "j-100003"] {
+    let mut c = Cluster::start("cancelled", LEASE_S, CANCEL_S);
+    for id in ["j-100001", "j-100002", "j-100003", "j-100004"] {
         let accepted = || call(c.nodes[0].client, "POST", "/api/jobs", &job(id, "service", 2)).filter(|a| a.0 == 201);
         wait_for("accepted", accepted);
     }
-    let all = || ["j-100001", "j-100002", "j-100003"].iter().all(|j| c.runs(j) == 2);
+    let all = || ["j-100001", "j-100002", "j-100003", "j-100004"].iter().all(|j| c.runs(j) == 2);
     wait_for("all run", || all().then_some(()));
 
     // Refused alone, it is told by the controller that confirmed.
@@ -591,7 +591,25 @@
     assert!(last < confirmed + bound, "renewed {:?} after the confirmation", last - confirmed);
     c.doors[leader].blind.store(false, Ordering::Relaxed);
     wait_for("what it reads of is gone", || (c.runs("j-100002") == 0).then_some(()));
-    assert_eq!(c.runs("j-100003"), 2, "nothing else is");
+    assert_eq!((c.runs("j-100003"), c.runs("j-100004")), (2, 2), "nothing else is");
+
+    // The leader dies, a cancellation is confirmed, and the service is away before
+    // there is a next one: whoever keeps the lease ends what is cancelled.
+    let leader = c.leader();
+    let other = c.nodes[(leader + 1) % 3].client;
+    for n in c.nodes.iter() {
+        status(n.client, "j-100004");
+    }
+    c.nodes[leader].kill();
+    assert_eq!(call(other, "POST", "/api/jobs/j-100003/abort", &[]).map(|a| a.0), Some(200));
+    c.doors.iter().for_each(|d| d.shut.store(true, Ordering::Relaxed));
+    let told = Instant::now();
+    wait_for("halted by who keeps the lease", || (c.runs("j-100003") == 0).then_some(()));
+    assert!(told.elapsed() < Duration::from_secs(u64::from(CANCEL_S - LEASE_S)), "gone after {:?}", told.elapsed());
+    assert_eq!(c.runs("j-100004"), 2, "the rest goes on");
+    c.doors.iter().for_each(|d| d.shut.store(false, Ordering::Relaxed));
+    wait_for("a leader again", || (c.worker.lock().unwrap().renewed? > told + Duration::from_secs(6)).then_some(()));
+    assert_eq!((c.runs("j-100003"), c.runs("j-100004")), (0, 2));
 }
 
 #[test]
