--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -5,3 +5,4 @@
 pub mod budget;
 pub mod mirror;
 pub mod records;
+pub mod versions;
--- /dev/null
+++ b/src/bookkeeping/versions.rs
@@ -0,0 +1,92 @@
+//! Which controllers run this version: what they may only do once all do.
+//!
+//! A controller of this version writes a key that is never removed,
+//! `version/LABEL`, when it starts. Versions before it know no such key.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use crate::protocol::store::Page;
+
+pub const VERSIONS: &str = "version/";
+/// The first that takes prerequisites is 2; those before it write nothing.
+pub const VERSION: u64 = 2;
+
+pub fn version_key(label: &str) -> String {
+    format!("{VERSIONS}{label}")
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionRecord {
+    #[serde(rename = "v")]
+    pub version: u64,
+    #[serde(rename = "n")]
+    pub nonce: u64,
+}
+
+/// Evidence that no older version is left: a label whose key was read has had
+/// its old process replaced, and never gets it back.
+#[derive(Debug, Default)]
+pub struct Evidence {
+    missing: BTreeSet<String>,
+}
+
+impl Evidence {
+    pub fn new<'a>(labels: impl Iterator<Item = &'a str>) -> Evidence {
+        Evidence { missing: labels.map(str::to_owned).collect() }
+    }
+
+    /// Guard: only what was read counts; nothing is concluded from silence.
+    pub fn saw(&mut self, page: &Page) {
+        for p in &page.pairs {
+            let Some(label) = p.key.strip_prefix(VERSIONS) else { continue };
+            if p.v.deserialized::<VersionRecord>().is_ok_and(|r| r.version >= VERSION) {
+                self.missing.remove(label);
+            }
+        }
+    }
+
+    pub fn is_complete(&self) -> bool {
+        self.missing.is_empty()
+    }
+
+    pub fn missing(&self) -> usize {
+        self.missing.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{bookkeeping::records::to_value, protocol::store::Pair};
+    use ciborium::Value;
+
+    #[test]
+    fn evidence_table() {
+        let new = || to_value(&VersionRecord { version: VERSION, nonce: 7 });
+        let old = || to_value(&VersionRecord { version: 1, nonce: 7 });
+        // Pages as they are read, and whether all are known to be new after the last.
+        type Keys = Vec<(&'static str, Value)>;
+        let cases: Vec<(Vec<Keys>, bool)> = vec![
+            (vec![], false),
+            (vec![vec![]], false),
+            (vec![vec![("version/a", new())]], false),
+            (vec![vec![("version/a", new()), ("version/b", new())]], true),
+            (vec![vec![("version/a", new())], vec![("version/b", new())]], true),
+            (vec![vec![("version/a", new()), ("version/b", old())]], false),
+            (vec![vec![("version/a", new()), ("version/b", Value::Null)]], false),
+            (vec![vec![("version/a", new()), ("version/c", new())]], false),
+            (vec![vec![("version/a", new()), ("leader/b", new())]], false),
+            (vec![vec![("version/a", new()), ("version/b/x", new())]], false),
+        ];
+        for (i, (pages, want)) in cases.into_iter().enumerate() {
+            let mut e = Evidence::new(["a", "b"].into_iter());
+            for keys in pages {
+                let pair = |(k, v): (&str, Value)| Pair { key: k.into(), v, stamp: 3, permit: None };
+                e.saw(&Page { pairs: keys.into_iter().map(pair).collect(), truncated: false, epoch: 9 });
+            }
+            assert_eq!(e.is_complete(), want, "case {i}");
+        }
+    }
+}
--- a/src/coordination/leader/commits.rs
+++ b/src/coordination/leader/commits.rs
@@ -113,7 +113,8 @@
             let conditions_before = txn.conditions.len();
             if job.all_done() && job.status == Status::Pending {
                 let submission = Submission { tasks: Some(f64::from(job.spec.tasks)), ..Submission::default() };
-                let at_ms = 0;
+                // Whoever leads next counts the waiting of those after it from here.
+                let at_ms = (now as i64 + self.day_ms).max(0) as u64;
                 let rec = JobRecord { submission, status: Status::Done, at_ms, chunk: job.chunk_size };
                 let v = records::to_value(&rec);
                 size += records::json_size(&v) + 64;
--- a/src/coordination/leader/loading.rs
+++ b/src/coordination/leader/loading.rs
@@ -26,7 +26,12 @@
             return;
         }
         if self.jobs[ix.at()].is_none() {
-            let Some(spec) = e.spec.clone() else { return };
+            // Guard: nothing of a job that still waits can have been placed. Were
+            // it so all the same, its places must count.
+            if mirror.waits(ix) {
+                tracing::error!(key, "a task record of a job that waits for others");
+            }
+            let Some(spec) = mirror.effective_spec(ix) else { return };
             self.add_job(now, wall_ms, ix, spec, mirror);
         }
         let Ok(rec) = v.deserialized::<ChunkRecord>() else {
@@ -75,6 +80,7 @@
     /// All records are read.
     pub fn loaded(&mut self, now: Ms, wall_ms: u64, mirror: &Mirror) {
         self.loaded = true;
+        self.day_ms = wall_ms as i64 - now as i64;
         for ix in mirror.all() {
             if mirror.get(ix).status == Status::Pending && self.job(ix).is_none() {
                 self.job_update(now, wall_ms, ix, mirror);
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -145,6 +145,8 @@
     pub stamp: u64,
     /// The latest moment heard of.
     pub clock: Ms,
+    /// The time of day is so far ahead of the steady clock.
+    day_ms: i64,
     pub started: Ms,
     pub loaded: bool,
     pub jobs: Vec<Option<Job>>,
@@ -206,6 +208,7 @@
             cfg,
             stamp,
             clock: now,
+            day_ms: 0,
             started: now,
             loaded: false,
             jobs: Vec::new(),
@@ -272,17 +275,24 @@
     /// The mirror shows a job's record, new or changed.
     pub fn job_update(&mut self, now: Ms, wall_ms: u64, ix: JobIx, mirror: &Mirror) {
         let e = mirror.get(ix);
+        self.day_ms = wall_ms as i64 - now as i64;
         if self.jobs.len() <= ix.at() {
             self.jobs.resize_with(ix.at() + 1, || None);
         }
         match (&mut self.jobs[ix.at()], e.status) {
+            // Guard: until the ends of all that it needs are written, a job is
+            // in no trial, and holds no part of any limit or guarantee.
+            (None, Status::Pending) if mirror.waits(ix) => return,
             (None, Status::Pending) => {
-                let Some(spec) = e.spec.clone() else { return };
+                let Some(spec) = mirror.effective_spec(ix) else { return };
                 self.add_job(now, wall_ms, ix, spec, mirror);
             }
             (Some(job), Status::Pending) => {
                 job.stamp = e.stamp;
                 job.stale = false;
+                if let Some(spec) = mirror.effective_spec(ix) {
+                    self.change_spec(ix, spec);
+                }
             }
             (Some(job), Status::Cancelled) => {
                 job.stamp = e.stamp;
@@ -300,10 +310,30 @@
         self.dirty = true;
     }
 
+    /// What others ask of a job changed its priority or its deadline.
+    fn change_spec(&mut self, ix: JobIx, spec: Rc<JobSpec>) {
+        let Some(job) = self.jobs[ix.at()].as_mut() else { return };
+        if *job.spec == *spec {
+            return;
+        }
+        let old = std::mem::replace(&mut job.spec, spec.clone());
+        let slots = job.slots.iter();
+        let at: Vec<PlaceIx> = slots.filter_map(|s| if let Slot::At(p) = s { Some(*p) } else { None }).collect();
+        for p in at {
+            let Some(p) = self.places.get(p.at()).and_then(Option::as_ref) else { continue };
+            // The picture counts by priority what may be stopped.
+            self.picture.give(p.machine.at(), &old, p.halt.is_some());
+            self.picture.take(p.machine.at(), &spec);
+            if p.halt.is_some() {
+                self.picture.stop(p.machine.at(), &spec);
+            }
+        }
+    }
+
     pub(super) fn add_job(&mut self, now: Ms, wall_ms: u64, ix: JobIx, spec: Rc<JobSpec>, mirror: &Mirror) {
         let e = mirror.get(ix);
         let n = spec.tasks;
-        let age = wall_ms.saturating_sub(e.at_ms).min(1 << 40) as i64;
+        let age = wall_ms.saturating_sub(mirror.ready_ms(ix)).min(1 << 40) as i64;
         self.jobs[ix.at()] = Some(Job {
             ix,
             id: e.id.clone(),
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -464,6 +464,7 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: None,
+            overdue_s: None,
         }
     }
 
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -149,10 +149,10 @@
         let age = job.age_s(now);
         let run = self.expected_s(&job.spec);
         let fetch = (job.spec.image_gb / 0.5).min(30.0);
-        let due = job.spec.deadline_s.map(|d| [(false, d), (false, d * 1.5)]);
+        let due = [job.spec.deadline_s, job.spec.overdue_s].into_iter().flatten().map(|d| (false, d));
         let aims = self.cfg.aims.iter().filter(|a| a.class == job.spec.class).map(|a| (a.start, a.within_s));
         let work = job.pending.len() as f64 * run * (job.spec.cpus + 8.0 * job.spec.gpus).max(0.1);
-        for (n, (start, within)) in due.into_iter().flatten().chain(aims).enumerate() {
+        for (n, (start, within)) in due.chain(aims).enumerate() {
             if start && job.started {
                 continue;
             }
--- a/src/node/duties.rs
+++ b/src/node/duties.rs
@@ -42,6 +42,7 @@
         let now = net.now();
         self.keep_mirror(net, now);
         self.keep_types(net, now);
+        self.keep_versions(net, now);
         if let Some(act) = self.election.tick(now) {
             self.act(net, act);
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod gossip;
 mod leading;
 mod replies;
+mod upgrade;
 mod users;
 mod wiring;
 mod workers;
--- a/src/node/replies.rs
+++ b/src/node/replies.rs
@@ -78,6 +78,8 @@
                 }
                 self.keeper.registered(now, body::<Epoch>(&result).map(|e| e.epoch));
             }
+            Pending::VersionWrite => self.version_wrote(now, &result),
+            Pending::VersionRead => self.version_page(now, &result),
             Pending::LeaderKey => self.leader_page(now, &result),
             Pending::LeaderWatch { sent } => self.leader_changes(now, sent, &result),
             Pending::JobsPage { first } => {
@@ -108,7 +110,7 @@
                     self.refuse_all(net, waiters);
                 }
             }
-            Pending::Submit { conn, id, record } => self.submitted(net, conn, id, &record, result),
+            Pending::Submit { conn, id, record, tries } => self.submitted(net, conn, id, record, tries, result),
             Pending::Abort { conn, id, record, tries } => self.aborted(net, conn, id, &record, tries, result),
             Pending::TasksSync { stamp, sent } => {
                 if self.leader.as_ref().is_some_and(|l| l.stamp == stamp) {
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -44,6 +44,18 @@
 }
 
 const TRY_AGAIN_S: u32 = 1;
+/// How often a submission is tried anew when one that it needs changes.
+const CREATE_TRIES: u32 = 3;
+
+/// The jobs that a submission names, as they are known here.
+#[derive(Debug)]
+enum Prereqs {
+    /// All are accepted; these conditions say that they stay as they are.
+    Stand(Vec<Condition>),
+    Unknown,
+    /// A service never ends.
+    Service,
+}
 
 fn status_word(e: &JobEntry) -> &'static str {
     match e.status {
@@ -87,8 +99,8 @@
         net: &mut Net,
         conn: ConnId,
         urgency: Urgency,
+        conditions: Vec<Condition>,
         key: String,
-        stamp: u64,
         v: Value,
         what: Pending,
     ) {
@@ -96,10 +108,7 @@
         if let Err(wait) = self.reads.take(now, 1.0, urgency).and_then(|()| self.writes.take(now, 1.0, urgency)) {
             return self.over_budget(net, conn, wait);
         }
-        let txn = Txn {
-            conditions: vec![Condition { key: key.clone(), stamp }],
-            writes: vec![Op::Put { key, v, permit: None }],
-        };
+        let txn = Txn { conditions, writes: vec![Op::Put { key, v, permit: None }] };
         self.ask_state(net, what, "POST", "/multi".into(), cbor::encode(&txn), 2_500);
     }
 
@@ -138,7 +147,7 @@
     // ---- submit --------------------------------------------------------
 
     pub fn submit(&mut self, net: &mut Net, conn: ConnId, body: &[u8]) {
-        let Ok(sub) = cbor::decode::<Submission>(body) else {
+        let Ok(mut sub) = cbor::decode::<Submission>(body) else {
             return net.respond(conn, 400, None, b"");
         };
         if !self.mirror.loaded() || self.types.is_empty() {
@@ -149,6 +158,7 @@
                 _ => self.unavailable(net, conn),
             };
         }
+        sub.fold_prereqs();
         let checked = sub.check(&mut self.tables, false);
         let id = match (&checked, &sub.name_id) {
             (Err(Refusal::Malformed(field)), _) => {
@@ -183,17 +193,57 @@
         };
         if let Some(why) = refusal {
             // Never for a job that was accepted: look once more first.
-            return self.barrier.join(now, Waiter::Refuse { conn, id, why });
+            return self.barrier.join(now, Waiter::Refuse { conn, id, status: 422, why });
         }
         let chunk = records::chunk_size(self.settings.cluster.state.value_kb);
         let record = Rc::new(JobRecord { submission: sub, status: Status::Pending, at_ms: wall_ms(), chunk });
         let v = records::to_value(&*record);
         if records::json_size(&v) as f64 > self.settings.cluster.state.value_kb * 1024.0 {
-            return net.respond(conn, 400, None, b"");
+            return self.barrier.join(now, Waiter::Refuse { conn, id, status: 400, why: "too long for a record" });
         }
+        // Guard: while an old controller may be there, nothing is accepted that
+        // it would start too early, or forget the prerequisites of.
+        if !record.submission.prereqs().is_empty() && !self.versions.is_complete() {
+            return self.unavailable(net, conn);
+        }
+        self.create(net, conn, id, record, 0);
+    }
+
+    /// Writes the record of a new job, if all that it names are known here;
+    /// otherwise the read barrier decides.
+    fn create(&mut self, net: &mut Net, conn: ConnId, id: String, record: Rc<JobRecord>, tries: u32) {
         let key = records::job_key(&id);
-        let what = Pending::Submit { conn, id, record };
-        self.write_record(net, conn, Urgency::Submit, key, 0, v, what);
+        let mut conditions = vec![Condition { key: key.clone(), stamp: 0 }];
+        match self.prereqs(&record) {
+            Prereqs::Stand(c) => conditions.extend(c),
+            Prereqs::Unknown | Prereqs::Service => {
+                return self.barrier.join(net.now(), Waiter::Dependent { conn, id, record, tries });
+            }
+        }
+        let v = records::to_value(&*record);
+        let what = Pending::Submit { conn, id, record, tries };
+        self.write_record(net, conn, Urgency::Submit, conditions, key, v, what);
+    }
+
+    /// Whether the jobs that a submission names stand, as far as is known here.
+    fn prereqs(&self, record: &JobRecord) -> Prereqs {
+        // One condition is for the job's own key. Records of jobs are never
+        // removed, so those beyond stand by having been read.
+        let most = 4 * self.settings.cluster.state.txn_ops - 1;
+        let mut conditions = Vec::new();
+        let mut has_service = false;
+        for p in record.submission.prereqs() {
+            let Some(ix) = self.mirror.find(p) else { return Prereqs::Unknown };
+            has_service |= self.mirror.is_service(ix);
+            // What is over stays as it is.
+            if !self.is_final(ix) && conditions.len() < most {
+                conditions.push(Condition { key: records::job_key(p), stamp: self.mirror.get(ix).stamp });
+            }
+        }
+        if has_service {
+            return Prereqs::Service;
+        }
+        Prereqs::Stand(conditions)
     }
 
     pub fn submitted(
@@ -201,15 +251,25 @@
         net: &mut Net,
         conn: ConnId,
         id: String,
-        record: &JobRecord,
+        record: Rc<JobRecord>,
+        tries: u32,
         result: Result<Reply, CallError>,
     ) {
-        match self.wrote(net, conn, &id, record, &result) {
+        match self.wrote(net, conn, &id, &record, &result) {
             Some(true) => {
                 self.told.accepted += 1;
-                self.job_answer(net, conn, 201, &id, "pending");
+                // It may need a cancelled one.
+                let word = self.mirror.find(&id).map_or("pending", |ix| status_word(self.mirror.get(ix)));
+                self.job_answer(net, conn, 201, &id, word);
+            }
+            Some(false) if record.submission.prereqs().is_empty() => {
+                self.barrier.join(net.now(), Waiter::Known { conn, id });
+            }
+            // It exists, or one that it needs changed meanwhile.
+            Some(false) if tries < CREATE_TRIES => {
+                self.barrier.join(net.now(), Waiter::Dependent { conn, id, record, tries: tries + 1 });
             }
-            Some(false) => self.barrier.join(net.now(), Waiter::Known { conn, id }),
+            Some(false) => self.unavailable(net, conn),
             None => {}
         }
     }
@@ -247,7 +307,8 @@
                 let record = Rc::new(JobRecord { status: Status::Cancelled, ..(*record).clone() });
                 let (key, v) = (records::job_key(&id), records::to_value(&*record));
                 let what = Pending::Abort { conn, id, record, tries };
-                self.write_record(net, conn, Urgency::Cancel, key, stamp, v, what);
+                let conditions = vec![Condition { key: key.clone(), stamp }];
+                self.write_record(net, conn, Urgency::Cancel, conditions, key, v, what);
             }
             None if !self.mirror.loaded() => self.unavailable(net, conn),
             None => self.barrier.join(now, Waiter::Abort { conn, id, tries }),
@@ -291,15 +352,30 @@
                     }
                     None => self.unavailable(net, conn),
                 },
-                Waiter::Refuse { conn, id, why } => match self.mirror.find(&id) {
+                Waiter::Refuse { conn, id, status, why } => match self.mirror.find(&id) {
                     Some(ix) => {
                         let word = status_word(self.mirror.get(ix));
                         self.job_answer(net, conn, 200, &id, word);
                     }
                     None => {
                         tracing::info!(job = &*id, why, "can never run");
-                        net.respond(conn, 422, None, b"");
+                        net.respond(conn, status, None, b"");
+                    }
+                },
+                Waiter::Dependent { conn, id, record, tries } => match self.mirror.find(&id) {
+                    Some(ix) => {
+                        let word = status_word(self.mirror.get(ix));
+                        self.job_answer(net, conn, 200, &id, word);
                     }
+                    // Guard: read after it was asked, so what is unknown now was
+                    // not accepted when the user named it.
+                    None => match self.prereqs(&record) {
+                        Prereqs::Stand(_) => self.create(net, conn, id, record, tries),
+                        no => {
+                            tracing::info!(job = &*id, ?no, "names a job that it can't wait for");
+                            net.respond(conn, 422, None, b"");
+                        }
+                    },
                 },
                 Waiter::Abort { conn, id, tries } => match self.mirror.find(&id) {
                     Some(_) => self.abort(net, conn, id, tries),
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -17,6 +17,7 @@
         budget::{Budget, Urgency},
         mirror::Mirror,
         records::{self, JobRecord, LeaderRecord},
+        versions::Evidence,
     },
     coordination::{
         election::{Act, Election},
@@ -52,8 +53,16 @@
     Refuse {
         conn: ConnId,
         id: String,
+        status: u16,
         why: &'static str,
     },
+    /// A submission that names others, some unknown here or changed lately.
+    Dependent {
+        conn: ConnId,
+        id: String,
+        record: Rc<JobRecord>,
+        tries: u32,
+    },
     Abort {
         conn: ConnId,
         id: String,
@@ -67,6 +76,7 @@
             Waiter::Poll { conn, .. }
             | Waiter::Known { conn, .. }
             | Waiter::Refuse { conn, .. }
+            | Waiter::Dependent { conn, .. }
             | Waiter::Abort { conn, .. } => *conn,
         }
     }
@@ -87,7 +97,9 @@
     KeeperGrant,
     KeeperRenew,
     KeeperRegister,
-    Submit { conn: ConnId, id: String, record: Rc<JobRecord> },
+    VersionWrite,
+    VersionRead,
+    Submit { conn: ConnId, id: String, record: Rc<JobRecord>, tries: u32 },
     Abort { conn: ConnId, id: String, record: Rc<JobRecord>, tries: u32 },
     TasksSync { stamp: u64, sent: Ms },
     TasksPage { stamp: u64 },
@@ -183,6 +195,11 @@
     pub budget_leading: Option<bool>,
     pub told: Told,
     pub next_told: Ms,
+    /// Who is known to run this version, and the key that says that this one does.
+    pub versions: Evidence,
+    pub version_written: bool,
+    pub version_write: Loop,
+    pub version_read: Loop,
 }
 
 /// The day's time, in ms.
@@ -261,6 +278,10 @@
             budget_leading: None,
             told: Told::default(),
             next_told: 0,
+            versions: Evidence::new(settings.seeds.iter().map(|s| &*s.label).chain(std::iter::once(&*settings.label))),
+            version_written: false,
+            version_write: Loop::default(),
+            version_read: Loop::default(),
             settings,
             operator,
         }
--- a/src/protocol/jobs.rs
+++ b/src/protocol/jobs.rs
@@ -1,11 +1,15 @@
 //! Users' interface: submissions, their validation, answers.
 
+use std::collections::HashSet;
+
 use serde::{Deserialize, Serialize};
 
 use super::cbor::maybe_number;
 use super::names::{ClassIx, ImageIx, Tables, TeamIx, TypeIx, ZoneIx};
 
 pub const MAX_TASKS: u32 = 100_000;
+/// A job is long overdue at so many times its deadline.
+const OVERDUE: f64 = 1.5;
 
 /// The body of `POST /api/jobs`, as it came. Also kept in the job's record.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
@@ -56,6 +60,14 @@
     #[serde(rename = "dueS", skip_serializing_if = "Option::is_none")]
     #[serde(deserialize_with = "maybe_number")]
     pub deadline_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts. Versions
+    /// that don't know it never meet a record in which it stands.
+    #[serde(skip_serializing_if = "names_nobody")]
+    pub prereqs: Option<Vec<String>>,
+}
+
+fn names_nobody(prereqs: &Option<Vec<String>>) -> bool {
+    prereqs.as_ref().is_none_or(Vec::is_empty)
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -96,6 +108,8 @@
     pub checkpoint_s: f64,
     pub save_s: f64,
     pub deadline_s: Option<f64>,
+    /// When it is long overdue: half as much again.
+    pub overdue_s: Option<f64>,
 }
 
 impl JobSpec {
@@ -152,6 +166,19 @@
 }
 
 impl Submission {
+    pub fn prereqs(&self) -> &[String] {
+        self.prereqs.as_deref().unwrap_or_default()
+    }
+
+    /// Names each prerequisite once, in the order in which they came.
+    pub fn fold_prereqs(&mut self) {
+        let mut seen = HashSet::new();
+        if let Some(l) = &mut self.prereqs {
+            l.retain(|id| seen.insert(id.clone()));
+        }
+        self.prereqs = self.prereqs.take().filter(|l| !l.is_empty());
+    }
+
     /// Checks form only. The team must be known to give an index: an unknown
     /// one is `NeverRuns`, and comes after everything malformed. `accepted`
     /// jobs come from records: their names are taken as they are, since types
@@ -220,6 +247,9 @@
             None => None,
             some => Some(amount(some, "dueS")?),
         };
+        if self.prereqs().iter().any(|p| !valid_id(p) || *p == id) {
+            return Err(Refusal::Malformed("prereqs"));
+        }
         let team = match tables.teams.find(&team) {
             Some(ix) => ix,
             None if accepted => tables.teams.intern(&team),
@@ -245,6 +275,7 @@
             checkpoint_s,
             save_s,
             deadline_s,
+            overdue_s: deadline_s.map(|d| d * OVERDUE),
         })
     }
 }
@@ -300,6 +331,7 @@
             Never,
         }
         let f = Value::Float;
+        let ids = |l: &[&str]| Value::Array(l.iter().map(|s| Value::Text((*s).into())).collect());
         let cases: Vec<(&str, Option<Value>, Want)> = vec![
             ("later", None, Want::Fine),
             ("yard", None, Want::Fine),
@@ -326,6 +358,17 @@
             ("nameId", Some(Value::Text("j-".into())), Want::Bad),
             ("dueS", Some(f(-3.0)), Want::Bad),
             ("owner", Some(Value::Text("nobody".into())), Want::Never),
+            ("prereqs", Some(Value::Null), Want::Fine),
+            ("prereqs", Some(Value::Array(vec![])), Want::Fine),
+            ("prereqs", Some(ids(&["j-000398", "j-000405"])), Want::Fine),
+            ("prereqs", Some(ids(&["j-000398", "j-000398"])), Want::Fine),
+            ("prereqs", Some(ids(&["j-000398", "j-000412"])), Want::Bad),
+            ("prereqs", Some(ids(&["j-000398", "job 1"])), Want::Bad),
+            ("prereqs", Some(ids(&[""])), Want::Bad),
+            ("prereqs", Some(Value::Text("j-000398".into())), Want::Bad),
+            ("prereqs", Some(Value::from(398)), Want::Bad),
+            ("prereqs", Some(Value::Array(vec![Value::from(398)])), Want::Bad),
+            ("prereqs", Some(Value::Map(vec![])), Want::Bad),
         ];
         for (field, v, want) in cases {
             let shown = format!("{field} = {v:?}");
