--- /dev/null
+++ b/tests/pipelines.rs
@@ -0,0 +1,551 @@
+//! Pipelines of dependent jobs: when they start, how they are cancelled, what
+//! they inherit, and what it costs to keep them.
+
+// Not all of it is used here.
+#[allow(dead_code)]
+mod world;
+
+use std::time::{Duration, Instant};
+
+use ciborium::Value;
+use shedhook::{
+    bookkeeping::{
+        mirror::Mirror,
+        records::{self, job_key, to_value, JobRecord, Status},
+    },
+    protocol::{
+        jobs::{Priority, Submission},
+        names::Tables,
+        store::{Change, Changes},
+    },
+};
+use world::{sub, Weather, World};
+
+fn after(id: &str, kind: &str, tasks: u32, prereqs: &[&str]) -> Submission {
+    let prereqs = Some(prereqs.iter().map(|p| (*p).to_owned()).collect());
+    Submission { prereqs, ..sub(id, kind, tasks) }
+}
+
+fn is_done(id: &'static str) -> impl Fn(&World) -> bool {
+    move |w| w.status(id) == Status::Done
+}
+
+fn has_begun(w: &World, id: &str) -> bool {
+    let of = |t: &str| t.split('/').next() == Some(id);
+    w.completed.iter().any(|t| of(t)) || w.workers.iter().any(|x| x.tasks.iter().any(|t| of(&t.name)))
+}
+
+// ---- starts ------------------------------------------------------------
+
+fn chain(w: &mut World) {
+    w.submit(sub("j-1", "batch", 6), 3_000);
+    w.submit(after("j-2", "ensemble", 2, &["j-1"]), 3_000);
+    w.submit(after("j-3", "batch", 3, &["j-2"]), 3_000);
+    w.until("done", 90_000, is_done("j-3"));
+}
+
+fn diamond(w: &mut World) {
+    w.submit(sub("j-1", "batch", 2), 3_000);
+    w.submit(after("j-2", "batch", 1, &["j-1"]), 2_000);
+    w.submit(after("j-3", "batch", 1, &["j-1"]), 12_000);
+    w.submit(after("j-4", "batch", 1, &["j-2", "j-3"]), 2_000);
+    w.until("one side is done", 60_000, is_done("j-2"));
+    w.run(4_000);
+    assert!(!has_begun(w, "j-4"), "the other side isn't done");
+    w.until("done", 60_000, is_done("j-4"));
+}
+
+fn fan(w: &mut World) {
+    w.submit(sub("j-1", "batch", 2), 3_000);
+    let names: Vec<String> = (10..30).map(|n| format!("j-{n}")).collect();
+    for n in &names {
+        w.submit(after(n, "batch", 1, &["j-1"]), 1_000);
+    }
+    let all: Vec<&str> = names.iter().map(String::as_str).collect();
+    w.submit(after("j-99", "batch", 1, &all), 1_000);
+    w.until("done", 200_000, is_done("j-99"));
+}
+
+/// Ids come in no order: the leader reads dependents before what they need.
+fn read_in_the_order_of_ids(w: &mut World) {
+    w.leader = None;
+    w.submit(sub("j-9", "batch", 1), 2_000);
+    w.submit(after("j-5", "batch", 1, &["j-9"]), 2_000);
+    w.submit(after("j-1", "batch", 1, &["j-5", "j-9"]), 2_000);
+    w.elect();
+    w.until("done", 60_000, is_done("j-1"));
+}
+
+/// Guard: all tasks have ended, but that isn't written: nothing after it starts.
+fn the_end_cannot_be_written(w: &mut World) {
+    w.submit(sub("j-1", "batch", 2), 3_000);
+    w.submit(after("j-2", "batch", 1, &["j-1"]), 3_000);
+    w.until("runs", 10_000, |w| w.where_is("j-1/1").is_some());
+    w.txns_left = Some(0);
+    w.run(30_000);
+    assert!(w.completed.len() == 2 && w.status("j-1") == Status::Pending && !has_begun(w, "j-2"));
+    w.txns_left = None;
+    w.until("done", 60_000, is_done("j-2"));
+}
+
+/// The leader dies between the end and its record, or between the record and
+/// the start of what waited for it.
+fn the_leader_dies_before_the_end_is_written(w: &mut World) {
+    w.submit(sub("j-1", "batch", 1), 3_000);
+    w.submit(after("j-2", "batch", 1, &["j-1"]), 3_000);
+    w.until("ended", 20_000, |w| !w.completed.is_empty());
+    w.die_before_txn = true;
+    w.until("dead", 20_000, |w| w.leader.is_none());
+    w.elect();
+    w.until("done", 60_000, is_done("j-2"));
+}
+
+fn the_leader_dies_after_the_end_is_written(w: &mut World) {
+    w.submit(sub("j-1", "batch", 1), 3_000);
+    w.submit(after("j-2", "batch", 1, &["j-1"]), 3_000);
+    w.until("ended", 20_000, |w| !w.completed.is_empty());
+    w.die_after_txn = true;
+    w.until("dead", 20_000, |w| w.leader.is_none());
+    assert!(w.status("j-1") == Status::Done && !has_begun(w, "j-2"));
+    w.run(5_000);
+    w.elect();
+    w.until("done", 60_000, is_done("j-2"));
+}
+
+/// Guard: the answer to the end's write is lost, and it is applied late.
+fn the_end_is_written_late(w: &mut World) {
+    w.submit(sub("j-1", "batch", 1), 3_000);
+    w.submit(after("j-2", "batch", 1, &["j-1"]), 3_000);
+    w.until("ended", 20_000, |w| !w.completed.is_empty());
+    w.weather = Weather { lost_txn: 100, ..Weather::default() };
+    w.run(1_000);
+    w.weather = Weather::default();
+    w.elect();
+    w.until("done", 60_000, is_done("j-2"));
+    w.run(45_000);
+}
+
+/// A job that is submitted when what it needs is over starts at once.
+fn named_when_it_is_over(w: &mut World) {
+    w.submit(sub("j-1", "batch", 1), 1_000);
+    w.until("done", 30_000, is_done("j-1"));
+    w.submit(after("j-2", "batch", 1, &["j-1"]), 1_000);
+    w.until("done", 30_000, is_done("j-2"));
+}
+
+/// A waiting job takes no part of its team's limit.
+fn a_waiting_job_holds_no_limit(w: &mut World) {
+    w.team_gpus_max = 4.0;
+    w.elect();
+    w.submit(sub("j-1", "batch", 1), 60_000);
+    let gpus = |s: Submission| Submission { gpus: Some(4.0), cpus: Some(1.0), ..s };
+    w.submit(gpus(after("j-2", "batch", 1, &["j-1"])), 1_000);
+    w.submit(gpus(sub("j-3", "batch", 1)), 2_000);
+    w.until("done", 30_000, is_done("j-3"));
+    let l = w.leader.as_ref().unwrap();
+    assert_eq!(l.active.len(), 1, "only what runs is looked at");
+}
+
+#[test]
+fn starts_table() {
+    run_table(&[
+        ("chain", chain),
+        ("diamond", diamond),
+        ("fan", fan),
+        ("order of ids", read_in_the_order_of_ids),
+        ("the end can't be written", the_end_cannot_be_written),
+        ("leader dies before", the_leader_dies_before_the_end_is_written),
+        ("leader dies after", the_leader_dies_after_the_end_is_written),
+        ("the end is written late", the_end_is_written_late),
+        ("over before", named_when_it_is_over),
+        ("waiting holds nothing", a_waiting_job_holds_no_limit),
+    ]);
+}
+
+type Case = (&'static str, fn(&mut World));
+
+fn run_table(cases: &[Case]) {
+    for (n, (name, case)) in cases.iter().enumerate() {
+        eprintln!("case: {name}");
+        let mut w = World::new(n as u64, 4);
+        w.elect();
+        case(&mut w);
+        w.check(name);
+    }
+}
+
+// ---- cancellations -----------------------------------------------------
+
+/// Guard: whichever step is cancelled, at whatever time, all after it are, and
+/// those before it go on.
+#[test]
+fn cancelled_at_each_step() {
+    let names = ["j-1", "j-2", "j-3", "j-4"];
+    for step in 0..4 {
+        for at in [0, 1_000, 4_000, 9_000, 14_000, 25_000] {
+            for change in [false, true] {
+                let what = format!("step {step} cancelled after {at} ms, change of leader: {change}");
+                let mut w = World::new(step as u64, 4);
+                w.elect();
+                w.submit(sub("j-9", "batch", 1), 2_000);
+                w.submit(sub("j-1", "batch", 3), 2_000);
+                for n in 1..4 {
+                    w.submit(after(names[n], "batch", 2, &[names[n - 1]]), 2_000);
+                }
+                w.run(at);
+                if change {
+                    w.leader = None;
+                }
+                let won = w.cancel(names[step]);
+                w.run(500);
+                if change {
+                    w.elect();
+                }
+                w.run(100_000);
+                for (n, name) in names.iter().enumerate() {
+                    let want = if won && n >= step { Status::Cancelled } else { Status::Done };
+                    assert_eq!(w.told(name), Some(want), "{what}: {name}");
+                    assert!(n <= step || !won || !has_begun(&w, name), "{what}: {name} began");
+                }
+                w.check(&what);
+            }
+        }
+    }
+}
+
+/// Guard: a cancellation that meets the end has one winner, whoever knows of it.
+fn cancelled_while_the_end_is_written(w: &mut World) {
+    w.submit(sub("j-1", "batch", 1), 3_000);
+    w.submit(after("j-2", "batch", 1, &["j-1"]), 3_000);
+    w.until("runs", 10_000, |w| w.where_is("j-1/0").is_some());
+    // The leader doesn't see the cancellation, and tries to write the end.
+    w.blind = true;
+    assert!(w.cancel("j-1"));
+    w.run(15_000);
+    assert!(w.status("j-1") == Status::Cancelled && !has_begun(w, "j-2"));
+    w.blind = false;
+    w.run(30_000);
+    assert_eq!(w.told("j-2"), Some(Status::Cancelled));
+}
+
+/// Guard: the write of the end is under way when the job is cancelled.
+fn a_late_end_of_a_cancelled_job(w: &mut World) {
+    w.submit(sub("j-1", "batch", 1), 3_000);
+    w.submit(after("j-2", "batch", 1, &["j-1"]), 3_000);
+    w.until("ended", 20_000, |w| !w.completed.is_empty());
+    w.weather = Weather { lost_txn: 100, ..Weather::default() };
+    w.run(1_000);
+    w.weather = Weather::default();
+    let won = w.cancel("j-1");
+    w.run(60_000);
+    assert_eq!(w.told("j-2"), Some(if won { Status::Cancelled } else { Status::Done }));
+}
+
+fn cancelled_while_the_state_service_is_away(w: &mut World) {
+    w.submit(sub("j-1", "service", 2), 0);
+    w.submit(sub("j-2", "batch", 2), 30_000);
+    w.submit(after("j-3", "batch", 1, &["j-2"]), 1_000);
+    w.submit(after("j-4", "batch", 1, &["j-3"]), 1_000);
+    w.until("runs", 10_000, |w| w.where_is("j-2/1").is_some());
+    w.txns_left = Some(0);
+    w.cancel("j-2");
+    w.run(20_000);
+    w.txns_left = None;
+    w.run(60_000);
+    assert_eq!(w.told("j-4"), Some(Status::Cancelled));
+}
+
+/// It is accepted all the same, and never starts.
+fn names_a_cancelled_one(w: &mut World) {
+    w.submit(sub("j-1", "batch", 1), 60_000);
+    w.submit(sub("j-5", "batch", 1), 1_000);
+    w.submit(after("j-2", "batch", 1, &["j-1"]), 1_000);
+    w.run(3_000);
+    w.cancel("j-1");
+    w.submit(after("j-3", "batch", 1, &["j-1"]), 1_000);
+    w.submit(after("j-4", "batch", 1, &["j-5", "j-2"]), 1_000);
+    w.run(30_000);
+    for id in ["j-2", "j-3", "j-4"] {
+        assert!(w.told(id) == Some(Status::Cancelled) && !has_begun(w, id), "{id}");
+        assert_eq!(w.status(id), Status::Pending, "{id}: the first one's record is the fact");
+    }
+}
+
+#[test]
+fn cancellations_table() {
+    run_table(&[
+        ("while the end is written", cancelled_while_the_end_is_written),
+        ("a late end", a_late_end_of_a_cancelled_job),
+        ("state service away", cancelled_while_the_state_service_is_away),
+        ("names a cancelled one", names_a_cancelled_one),
+    ]);
+}
+
+/// By chance with fixed seeds: pipelines in all weathers, cancelled now and
+/// then, under leaders that change.
+#[test]
+fn pipelines_in_bad_weather() {
+    for seed in 0..24 {
+        let mut w = World::new(seed, 6);
+        w.weather = Weather {
+            late_do: 10,
+            lost_do: 5,
+            repeat_do: 20,
+            slow_do: 20,
+            lost_txn: 15,
+            lost_answer: 10,
+            late_report: 10,
+            ..Weather::default()
+        };
+        w.elect();
+        let mut names: Vec<String> = Vec::new();
+        for n in 0..16 {
+            // Ids in no order.
+            let id = format!("j-{}", (n * 7 + 3) % 16);
+            let mut p: Vec<String> = Vec::new();
+            for _ in 0..w.any(3) {
+                if !names.is_empty() {
+                    let at = w.any(names.len());
+                    p.push(names[at].clone());
+                }
+            }
+            let p: Vec<&str> = p.iter().map(String::as_str).collect();
+            let kind = ["batch", "ensemble"][w.any(2)];
+            let tasks = 1 + w.any(3) as u32;
+            let run = 500 + 500 * w.any(8) as u64;
+            w.submit(after(&id, kind, tasks, &p), run);
+            names.push(id);
+            let pause = 200 * w.any(20) as u64;
+            w.run(pause);
+            match w.any(10) {
+                0 => w.elect(),
+                1 => {
+                    let at = w.any(names.len());
+                    let id = names[at].clone();
+                    w.cancel(&id);
+                }
+                2 => w.die_after_txn = true,
+                3 => w.die_before_txn = true,
+                _ => {}
+            }
+            if w.leader.is_none() && w.any(2) == 0 {
+                w.elect();
+            }
+        }
+        w.weather = Weather::default();
+        (w.die_after_txn, w.die_before_txn) = (false, false);
+        w.elect();
+        let over = |w: &World| names.iter().all(|n| w.told(n).is_some_and(|s| s != Status::Pending));
+        w.until(&format!("all over, seed {seed}"), 600_000, over);
+        w.run(60_000);
+        w.check(&format!("seed {seed}"));
+    }
+}
+
+// ---- the mirror alone --------------------------------------------------
+
+fn record(s: &Submission, status: Status, at_ms: u64) -> Value {
+    to_value(&JobRecord { submission: s.clone(), status, at_ms, chunk: 4 })
+}
+
+fn change(s: &Submission, status: Status, at_ms: u64, stamp: u64) -> Change {
+    let id = s.name_id.as_deref().unwrap();
+    Change { write: Some(job_key(id)), drop: None, v: Some(record(s, status, at_ms)), stamp }
+}
+
+/// Guard: whatever the order in which records are seen, the outcome is the same.
+#[test]
+fn the_order_of_records_does_not_matter() {
+    use Status::*;
+    let s = |id: &str, p: &[&str]| after(id, "batch", 1, p);
+    // j-1 -> j-2 -> j-4 -> j-5, j-1 -> j-3 -> j-4; j-6 -> j-7.
+    let (one, six) = (s("j-1", &[]), s("j-6", &[]));
+    let rest =
+        [s("j-2", &["j-1"]), s("j-3", &["j-1"]), s("j-4", &["j-2", "j-3"]), s("j-5", &["j-4"]), s("j-7", &["j-6"])];
+    let mut all = vec![
+        change(&one, Pending, 100, 1),
+        change(&six, Pending, 100, 2),
+        change(&one, Cancelled, 100, 20),
+        change(&six, Done, 7_000, 21),
+        // A late copy, and an abort of one that is cancelled already.
+        change(&rest[1], Cancelled, 100, 30),
+    ];
+    all.extend(rest.iter().enumerate().map(|(n, r)| change(r, Pending, 100, 3 + n as u64)));
+    let mut state = 7u64;
+    for round in 0..500 {
+        let mut m = Mirror::default();
+        for c in &all {
+            m.apply(&Changes { epoch: c.stamp, events: vec![c.clone()] }, &mut Tables::default());
+        }
+        let shown: Vec<Status> = (1..=7).map(|n| m.get(m.find(&format!("j-{n}")).unwrap()).status).collect();
+        assert_eq!(shown, [Cancelled, Cancelled, Cancelled, Cancelled, Cancelled, Done, Pending], "round {round}");
+        let last = m.find("j-7").unwrap();
+        assert!(!m.waits(last) && m.ready_ms(last) == 7_000, "round {round}");
+        for i in (1..all.len()).rev() {
+            state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            all.swap(i, (state >> 33) as usize % (i + 1));
+        }
+    }
+}
+
+/// Guard: once it is called cancelled, no record of its own changes that.
+#[test]
+fn a_derived_cancellation_stays() {
+    let (one, two) = (after("j-1", "batch", 1, &[]), after("j-2", "batch", 1, &["j-1"]));
+    let mut m = Mirror::default();
+    let mut t = Tables::default();
+    let steps = [
+        (change(&one, Status::Pending, 1, 1), Status::Pending),
+        (change(&two, Status::Pending, 1, 2), Status::Pending),
+        (change(&one, Status::Cancelled, 1, 3), Status::Cancelled),
+        (change(&two, Status::Pending, 1, 4), Status::Cancelled),
+        (change(&two, Status::Done, 1, 5), Status::Cancelled),
+    ];
+    for (c, want) in steps {
+        m.apply(&Changes { epoch: c.stamp, events: vec![c.clone()] }, &mut t);
+        if let Some(ix) = m.find("j-2") {
+            assert_eq!(m.get(ix).status, want, "after {}", c.stamp);
+        }
+    }
+}
+
+#[test]
+fn priority_and_deadline_reach_back() {
+    let with = |s: Submission, rank: &str, due: Option<f64>| Submission {
+        priority: Some(rank.into()),
+        deadline_s: due,
+        estimate_s: Some(10.0),
+        ..s
+    };
+    let jobs = [
+        with(after("j-1", "batch", 1, &[]), "low", None),
+        with(after("j-2", "batch", 1, &["j-1"]), "normal", None),
+        with(after("j-3", "batch", 1, &["j-1"]), "low", Some(500.0)),
+        with(after("j-4", "batch", 1, &["j-2", "j-3"]), "high", Some(100.0)),
+    ];
+    let mut t = Tables::default();
+    for order in [[0, 1, 2, 3], [3, 2, 1, 0], [1, 3, 0, 2]] {
+        let mut m = Mirror::default();
+        for n in order {
+            let c = change(&jobs[n], Status::Pending, 1_000, n as u64 + 1);
+            m.apply(&Changes { epoch: c.stamp, events: vec![c] }, &mut t);
+        }
+        let got: Vec<(Priority, Option<f64>, Option<f64>)> = (1..=4)
+            .map(|n| m.effective_spec(m.find(&format!("j-{n}")).unwrap()).unwrap())
+            .map(|s| (s.priority, s.deadline_s, s.overdue_s))
+            .collect();
+        use Priority::High;
+        let want = [
+            (High, Some(80.0), Some(130.0)),
+            (High, Some(90.0), Some(140.0)),
+            (High, Some(90.0), Some(140.0)),
+            (High, Some(100.0), Some(150.0)),
+        ];
+        assert_eq!(got, want, "{order:?}");
+        // The deadline counts from the submission, however long it waited.
+        for (n, end) in [(0, 31_000), (1, 41_000), (2, 36_000)] {
+            let c = change(&jobs[n], Status::Done, end, 10 + n as u64);
+            m.apply(&Changes { epoch: c.stamp, events: vec![c] }, &mut t);
+        }
+        let last = m.find("j-4").unwrap();
+        let s = m.effective_spec(last).unwrap();
+        assert_eq!((m.ready_ms(last), s.deadline_s, s.overdue_s), (41_000, Some(60.0), Some(110.0)));
+    }
+}
+
+/// A leader raises what already runs when a job that needs it comes.
+#[test]
+fn a_running_job_is_raised() {
+    let mut w = World::new(1, 4);
+    w.elect();
+    w.submit(Submission { priority: Some("low".into()), ..sub("j-1", "batch", 4) }, 20_000);
+    w.until("runs", 10_000, |w| w.where_is("j-1/3").is_some());
+    w.submit(Submission { priority: Some("high".into()), ..after("j-2", "batch", 1, &["j-1"]) }, 1_000);
+    w.run(500);
+    let l = w.leader.as_ref().unwrap();
+    let job = l.active.iter().filter_map(|&j| l.job(j)).find(|j| &*j.id == "j-1").unwrap();
+    assert_eq!(job.spec.priority, Priority::High);
+    w.until("done", 90_000, is_done("j-2"));
+    // What was counted under one priority was taken back under the same.
+    let l = w.leader.as_ref().unwrap();
+    for h in &l.picture.hosts {
+        assert!(h.low.iter().all(|r| !r.any()) && !h.soon.any(), "left over on a machine");
+    }
+    w.check("raised");
+}
+
+/// Deep chains, wide fans and wide joins load quickly, in any order, and what
+/// ends costs work in its dependents alone.
+#[test]
+fn deep_and_wide() {
+    let name = |n: usize| format!("j-{n:06}");
+    let chain: Vec<Vec<String>> = (0..2_000).map(|n| (n > 0).then(|| name(n - 1)).into_iter().collect()).collect();
+    let fan: Vec<Vec<String>> = (0..5_001).map(|n| (n > 0).then(|| name(0)).into_iter().collect()).collect();
+    let join: Vec<Vec<String>> =
+        (0..1_001).map(|n| if n < 1_000 { vec![] } else { (0..1_000).map(name).collect() }).collect();
+    let lattice: Vec<Vec<String>> =
+        (0..2_000).map(|n| if n < 10 { vec![] } else { (n / 10 * 10 - 10..n / 10 * 10).map(name).collect() }).collect();
+    for (what, shape) in [("chain", chain), ("fan", fan), ("join", join), ("lattice", lattice)] {
+        for backwards in [false, true] {
+            for end in [Status::Cancelled, Status::Done] {
+                let last = shape.len() - 1;
+                let subs: Vec<Submission> = shape
+                    .iter()
+                    .enumerate()
+                    .map(|(n, p)| Submission {
+                        prereqs: Some(p.clone()),
+                        deadline_s: (n == last).then_some(1e6),
+                        priority: Some(if n == last { "high" } else { "low" }.into()),
+                        ..sub(&name(n), "batch", 1)
+                    })
+                    .collect();
+                let mut events: Vec<Change> =
+                    subs.iter().enumerate().map(|(n, s)| change(s, Status::Pending, 1, n as u64 + 1)).collect();
+                if backwards {
+                    events.reverse();
+                }
+                let (mut m, mut t) = (Mirror::default(), Tables::default());
+                let began = Instant::now();
+                m.apply(&Changes { epoch: 10_000, events }, &mut t);
+                let loaded = began.elapsed();
+                m.take_changed();
+                let c = change(&subs[0], end, 1, 20_000);
+                m.apply(&Changes { epoch: 20_000, events: vec![c] }, &mut t);
+                let took = began.elapsed();
+                let changed = m.take_changed().len();
+                eprintln!(
+                    "{what}, backwards {backwards}: loaded in {loaded:?}, {end:?} at {took:?}, {changed} changed"
+                );
+                // Of an unoptimized build, with room for a busy machine.
+                assert!(took < Duration::from_secs(5), "{what} took {took:?}");
+                let first = shape.iter().filter(|p| p.contains(&name(0))).count();
+                if end == Status::Done {
+                    assert!(changed <= 1 + first, "{what}: {changed} changed by one end");
+                } else if what != "join" && what != "lattice" {
+                    assert_eq!(changed, shape.len(), "{what}");
+                }
+                assert!(end == Status::Done || m.get(m.find(&name(last)).unwrap()).status == Status::Cancelled);
+            }
+        }
+    }
+}
+
+/// The end's time of day stands in its record, so that a later leader counts
+/// from there.
+#[test]
+fn waiting_counts_from_the_last_end() {
+    let mut w = World::new(5, 4);
+    w.elect();
+    w.submit(sub("j-1", "batch", 1), 40_000);
+    w.submit(after("j-2", "service", 1, &["j-1"]), 0);
+    w.until("done", 60_000, is_done("j-1"));
+    w.run(10_000);
+    let rec: JobRecord = w.store.keys[&records::job_key("j-1")].0.deserialized().unwrap();
+    assert!(rec.at_ms > 40_000 && rec.at_ms < w.now, "{}", rec.at_ms);
+    for _ in 0..2 {
+        let l = w.leader.as_ref().unwrap();
+        let job = l.active.iter().filter_map(|&j| l.job(j)).find(|j| &*j.id == "j-2").unwrap();
+        assert_eq!(job.since, rec.at_ms as i64);
+        w.elect();
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -275,6 +275,8 @@
     /// cut have not been heard.
     pub last_kept: Ms,
     pub unspoken: Option<Ms>,
+    /// The controller reads no changes.
+    pub blind: bool,
     /// Where writes are counted; elsewhere they are free.
     pub writes: Option<Writes>,
 }
@@ -337,6 +339,7 @@
             most_orders: 0,
             last_kept: 0,
             unspoken: None,
+            blind: false,
             writes: None,
         };
         w.tables.teams.intern("red");
@@ -748,6 +751,13 @@
             }
         }
         let f = &self.jobs[job];
+        // Stricter than the rule: their ends must be written, too.
+        for p in f.sub.prereqs() {
+            let all = (0..self.jobs[p].sub.tasks.unwrap() as u32).all(|n| self.completed.contains(&format!("{p}/{n}")));
+            if !all || self.status(p) != Status::Done {
+                self.broken.push(format!("too_early: {task} before {p} at {}", self.now));
+            }
+        }
         let here = &self.workers[n].zone;
         let mut zones: HashMap<&str, u32> = HashMap::new();
         for w in self.workers.iter().filter(|w| !w.dead) {
@@ -804,6 +814,30 @@
         }
     }
 
+    /// Stricter than the rule: whoever has read the cancellation calls all that
+    /// need the job cancelled, at once.
+    fn judge_orphans(&mut self) {
+        for (id, f) in &self.jobs {
+            let mut above: Vec<&String> = f.sub.prereqs().iter().collect();
+            let mut seen = std::collections::HashSet::new();
+            let mut is_doomed = false;
+            while let Some(p) = above.pop() {
+                if seen.insert(p) {
+                    is_doomed |= self.jobs[p].cancelled_at.is_some();
+                    above.extend(self.jobs[p].sub.prereqs());
+                }
+            }
+            if is_doomed && self.told(id) != Some(Status::Cancelled) {
+                self.broken.push(format!("orphaned: {id} is {:?} at {}", self.told(id), self.now));
+            }
+        }
+    }
+
+    /// What the controller tells users of a job.
+    pub fn told(&self, id: &str) -> Option<Status> {
+        self.mirror.find(id).map(|ix| self.mirror.get(ix).status)
+    }
+
     pub fn check(&self, name: &str) {
         assert!(self.broken.is_empty(), "{name}: {:#?}", &self.broken[..self.broken.len().min(5)]);
         assert!(self.starts > 0, "{name}: nothing ran");
@@ -816,8 +850,11 @@
             return;
         }
         let now = self.now;
-        let changes = self.store.changes(records::JOBS, self.mirror.epoch());
-        self.mirror.apply(&changes, &mut self.tables);
+        if !self.blind {
+            let changes = self.store.changes(records::JOBS, self.mirror.epoch());
+            self.mirror.apply(&changes, &mut self.tables);
+            self.judge_orphans();
+        }
         let changed = self.mirror.take_changed();
         let Some(l) = &mut self.leader else { return };
         for ix in changed {
