--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -6,7 +6,7 @@
     fs,
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
         atomic::{AtomicBool, Ordering},
@@ -348,7 +348,11 @@
 
 impl Node {
     fn start(&mut self) {
-        let child = Command::new(env!("CARGO_BIN_EXE_shedhook"))
+        self.start_as(Path::new(env!("CARGO_BIN_EXE_shedhook")));
+    }
+
+    fn start_as(&mut self, program: &Path) {
+        let child = Command::new(program)
             .arg("--config")
             .arg(&self.file)
             .env("LOG_LEVEL", "error")
@@ -393,6 +397,16 @@
     )
 }
 
+fn job_after(id: &str, kind: &str, prereqs: Value) -> Vec<u8> {
+    let mut v: Value = body::decode(&job(id, kind, 1)).unwrap();
+    v.as_map_mut().unwrap().push((Value::Text("prereqs".into()), prereqs));
+    body::encode(&v)
+}
+
+fn ids(l: &[&str]) -> Value {
+    Value::Array(l.iter().map(|s| Value::Text((*s).into())).collect())
+}
+
 fn status(to: SocketAddr, id: &str) -> Option<String> {
     let (code, bytes) = call(to, "GET", &format!("/api/jobs/{id}"), &[])?;
     if code != 200 {
@@ -403,19 +417,11 @@
     Some(word)
 }
 
-#[test]
-fn three_controllers_serve_fail_and_return() {
-    let store = Arc::new(Mutex::new(Store::default()));
-    let shut: Vec<Arc<AtomicBool>> = (0..3).map(|_| Arc::new(AtomicBool::new(false))).collect();
-    let doors: Vec<SocketAddr> = shut.iter().map(|s| state_service(store.clone(), s.clone())).collect();
-    let addrs = Arc::new(Mutex::new(Vec::new()));
-    let stop = Arc::new(AtomicBool::new(false));
-    let (worker_addr, worker_state) = worker(addrs.clone(), stop.clone());
-    let cloud = cloud(worker_addr);
-    let dir = std::env::temp_dir().join(format!("shedhook-loopback-{}", std::process::id()));
-    fs::create_dir_all(&dir).unwrap();
+/// Three controllers with their settings, not started yet.
+fn controllers(dir: &Path, doors: &[SocketAddr], cloud: SocketAddr) -> Vec<Node> {
+    fs::create_dir_all(dir).unwrap();
     let ports: Vec<(SocketAddr, SocketAddr)> = (0..3).map(|_| (free_port(), free_port())).collect();
-    let mut nodes: Vec<Node> = (0..3)
+    (0..3)
         .map(|n| {
             let mut text = format!(
                 "label = \"n-{n}\"\ndomain = \"a\"\nclient_listen = \"{}\"\ncluster_listen = \"{}\"\n",
@@ -433,7 +439,20 @@
             fs::write(&file, text).unwrap();
             Node { client: ports[n].0, file, child: None }
         })
-        .collect();
+        .collect()
+}
+
+#[test]
+fn three_controllers_serve_fail_and_return() {
+    let store = Arc::new(Mutex::new(Store::default()));
+    let shut: Vec<Arc<AtomicBool>> = (0..3).map(|_| Arc::new(AtomicBool::new(false))).collect();
+    let doors: Vec<SocketAddr> = shut.iter().map(|s| state_service(store.clone(), s.clone())).collect();
+    let addrs = Arc::new(Mutex::new(Vec::new()));
+    let stop = Arc::new(AtomicBool::new(false));
+    let (worker_addr, worker_state) = worker(addrs.clone(), stop.clone());
+    let cloud = cloud(worker_addr);
+    let dir = std::env::temp_dir().join(format!("shedhook-loopback-{}", std::process::id()));
+    let mut nodes = controllers(&dir, &doors, cloud);
     for n in &mut nodes {
         n.start();
     }
@@ -550,3 +569,109 @@
     stop.store(true, Ordering::Relaxed);
     let _ = fs::remove_dir_all(&dir);
 }
+
+/// An old controller may be left: nothing is accepted that it would misread.
+/// `SHEDHOOK_BEFORE` names the program of the version before; without it the
+/// third controller is down instead of old.
+#[test]
+fn pipelines_over_the_wire() {
+    let store = Arc::new(Mutex::new(Store::default()));
+    let doors: Vec<SocketAddr> =
+        (0..3).map(|_| state_service(store.clone(), Arc::new(AtomicBool::new(false)))).collect();
+    let addrs = Arc::new(Mutex::new(Vec::new()));
+    let stop = Arc::new(AtomicBool::new(false));
+    let (worker_addr, _) = worker(addrs.clone(), stop.clone());
+    let cloud = cloud(worker_addr);
+    let dir = std::env::temp_dir().join(format!("shedhook-pipelines-{}", std::process::id()));
+    let mut nodes = controllers(&dir, &doors, cloud);
+    let before = std::env::var_os("SHEDHOOK_BEFORE").map(PathBuf::from);
+    eprintln!("the third controller is {}", before.as_ref().map_or("down", |_| "of the version before"));
+    // All old first, then replaced one by one, the leader among them.
+    if let Some(old) = &before {
+        nodes.iter_mut().for_each(|n| n.start_as(old));
+        *addrs.lock().unwrap() = nodes.iter().map(|n| n.client).collect();
+        let at = nodes[0].client;
+        wait_for("ready", || (call(at, "GET", "/ready", &[])?.0 == 200).then_some(()));
+        wait_for("taken", || (call(at, "POST", "/api/jobs", &job("j-000001", "batch", 3))?.0 == 201).then_some(()));
+        wait_for("done", || (status(at, "j-000001")? == "done").then_some(()));
+        nodes[0].kill();
+        nodes[1].kill();
+    }
+    nodes[0].start();
+    nodes[1].start();
+    *addrs.lock().unwrap() = nodes.iter().map(|n| n.client).collect();
+    let (a, b) = (nodes[0].client, nodes[1].client);
+    for at in [a, b] {
+        wait_for("ready", || (call(at, "GET", "/ready", &[])?.0 == 200).then_some(()));
+    }
+    let submit = |to: SocketAddr, bytes: &[u8]| call(to, "POST", "/api/jobs", bytes).map(|a| a.0);
+    assert!(submit(a, &job("j-000001", "batch", 3)).is_some_and(|s| s < 300));
+    for at in [a, b] {
+        wait_for("done", || (status(at, "j-000001")? == "done").then_some(()));
+        thread::sleep(Duration::from_secs(2));
+        assert_eq!(submit(at, &job_after("j-000002", "batch", ids(&["j-000001"]))), Some(503), "one may be old");
+        assert_eq!(submit(at, &job_after("j-000002", "batch", Value::from(1))), Some(400));
+        assert_eq!(status(at, "j-000002"), None);
+    }
+    nodes[2].kill();
+    nodes[2].start();
+    for n in &nodes {
+        let bytes = job_after("j-000002", "batch", ids(&["j-000001", "j-000001"]));
+        wait_for("accepted", || submit(n.client, &bytes).filter(|s| *s < 300));
+    }
+    wait_for("done", || (status(a, "j-000002")? == "done").then_some(()));
+
+    // Runs until it is cancelled; what needs it waits.
+    assert_eq!(submit(a, &job("j-100001", "batch", 1)), Some(201));
+    assert_eq!(submit(b, &job("j-100002", "service", 1)), Some(201));
+    let many: Vec<String> = (0..3_000).map(|n| format!("j-{n}")).collect();
+    let many: Vec<&str> = many.iter().map(String::as_str).collect();
+    // (what, where, id, prerequisites, answer)
+    let cases = [
+        ("accepted elsewhere a moment ago", b, "j-000010", ids(&["j-100001"]), 201),
+        ("through another", a, "j-000011", ids(&["j-000010", "j-000001"]), 201),
+        ("again, elsewhere", b, "j-000011", ids(&["j-000010", "j-000001"]), 200),
+        ("again, naming what was never accepted", b, "j-000011", ids(&["j-999999"]), 200),
+        ("never accepted", a, "j-000012", ids(&["j-100001", "j-999999"]), 422),
+        ("a service", a, "j-000012", ids(&["j-100002"]), 422),
+        ("itself", a, "j-000012", ids(&["j-000012"]), 400),
+        ("no list", a, "j-000012", Value::Text("j-100001".into()), 400),
+        ("no ids", a, "j-000012", ids(&["j-100001", "x"]), 400),
+        ("too long for a record", a, "j-000012", ids(&many), 400),
+        ("null", a, "j-000013", Value::Null, 201),
+        ("nobody", a, "j-000006", ids(&[]), 201),
+    ];
+    for (what, at, id, prereqs, want) in cases {
+        assert_eq!(submit(at, &job_after(id, "batch", prereqs)), Some(want), "{what}");
+    }
+    assert_eq!(status(a, "j-000012"), None, "refused for good");
+    wait_for("runs", || (status(a, "j-100001")? == "running").then_some(()));
+    assert_eq!(status(b, "j-000010").as_deref(), Some("pending"));
+    // Guard: one cancellation, and nobody calls what needs the job anything else.
+    assert_eq!(call(b, "POST", "/api/jobs/j-100001/abort", &[]).map(|a| a.0), Some(200));
+    for n in &nodes {
+        for id in ["j-000010", "j-000011"] {
+            assert_eq!(status(n.client, id).as_deref(), Some("cancelled"), "{id}");
+        }
+    }
+    let word = |bytes: &[u8]| {
+        let v: Value = body::decode(bytes).unwrap();
+        let found = v.as_map().unwrap().iter().find(|(k, _)| k.as_text() == Some("status")).unwrap().1.clone();
+        found.as_text().unwrap().to_owned()
+    };
+    let (code, bytes) = call(a, "POST", "/api/jobs/j-000011/abort", &[]).unwrap();
+    assert_eq!((code, &*word(&bytes)), (200, "cancelled"));
+    let late = job_after("j-000015", "batch", ids(&["j-000011"]));
+    let (code, bytes) = call(a, "POST", "/api/jobs", &late).unwrap();
+    assert_eq!((code, &*word(&bytes)), (201, "cancelled"), "names a cancelled one");
+    for n in &mut nodes {
+        n.kill();
+        n.start();
+    }
+    for n in &nodes {
+        wait_for("still", || (status(n.client, "j-000015")? == "cancelled").then_some(()));
+        wait_for("done", || (status(n.client, "j-000006")? == "done").then_some(()));
+    }
+    stop.store(true, Ordering::Relaxed);
+    let _ = fs::remove_dir_all(&dir);
+}
