--- a/src/bookkeeping/mirror.rs
+++ b/src/bookkeeping/mirror.rs
@@ -246,6 +246,8 @@
             e.status = rec.status;
         }
         e.stamp = stamp;
+        // A leader may have divided its tasks anew.
+        e.chunk = rec.chunk.max(1);
         let prereqs = if is_new { rec.submission.prereqs().to_vec() } else { Vec::new() };
         match e.status {
             Status::Pending => {
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -92,10 +92,14 @@
     pub tag: u64,
 }
 
-/// Tasks per chunk, so that a full one stays well below the limit of a value.
-pub fn chunk_size(value_kb: f64) -> u32 {
-    // A place takes up to about 100 bytes in JSON form.
-    ((value_kb * 1024.0 / 128.0) as u32).clamp(4, 256) / 4 * 4
+/// Tasks per chunk, so that a full one stays below the limit of a value.
+/// `zone_len`: the longest name of a zone.
+pub fn chunk_size(value_kb: f64, zone_len: usize) -> u32 {
+    // A place in JSON form: five fields, of up to 6, 14, 7 and 20 bytes and the
+    // zone's name, in brackets, with quotes, commas and perhaps spaces; and a bit.
+    let place = 63.0 + zone_len as f64;
+    const REST: f64 = 64.0;
+    (((value_kb * 1024.0 - REST) / place).max(0.0) as u32).clamp(4, 128) / 4 * 4
 }
 
 pub fn pack_done(done: impl Iterator<Item = bool>) -> String {
@@ -128,7 +132,11 @@
 pub fn json_size(v: &Value) -> usize {
     match v {
         Value::Null | Value::Bool(_) => 5,
-        Value::Integer(_) | Value::Float(_) => 20,
+        Value::Integer(i) => {
+            let n = i128::from(*i);
+            usize::from(n < 0) + n.unsigned_abs().checked_ilog10().unwrap_or(0) as usize + 1
+        }
+        Value::Float(_) => 20,
         Value::Text(s) => s.len() + s.bytes().filter(|b| *b < 0x20 || matches!(b, b'"' | b'\\')).count() * 5 + 2,
         Value::Array(l) => 2 + l.iter().map(|x| json_size(x) + 1).sum::<usize>(),
         Value::Map(m) => 2 + m.iter().map(|(k, x)| json_size(k) + json_size(x) + 2).sum::<usize>(),
@@ -154,10 +162,27 @@
         assert_eq!(split_chunk_key("t/x"), None);
     }
 
+    #[test]
+    fn sizes_in_json_form() {
+        let cases = [
+            (Value::from(0), 1),
+            (Value::from(9), 1),
+            (Value::from(10), 2),
+            (Value::from(-10), 3),
+            (Value::from(u64::MAX), 20),
+            (Value::from(i64::MIN), 20),
+            (Value::Text("a\"".into()), 9),
+            (Value::Array(vec![Value::from(1), Value::from(2)]), 6),
+        ];
+        for (v, want) in cases {
+            assert_eq!(json_size(&v), want, "{v:?}");
+        }
+    }
+
     #[test]
     fn a_full_chunk_fits_the_limit_of_a_value() {
-        for kb in [1.0, 8.0, 16.0, 64.0] {
-            let size = chunk_size(kb);
+        for kb in [1.0, 2.0, 4.0, 8.0, 16.0, 64.0] {
+            let size = chunk_size(kb, "some-zone-1".len());
             let rec = ChunkRecord {
                 done: pack_done((0..size).map(|_| true)),
                 places: (0..size)
--- a/src/coordination/leader/commits.rs
+++ b/src/coordination/leader/commits.rs
@@ -6,6 +6,10 @@
 /// budget to spare.
 const ENDS_MS: Ms = 8_000;
 const ENDS_SPARE_MS: Ms = 1_500;
+/// Between two jobs whose tasks are divided anew.
+const RECHUNK_GAP_MS: Ms = 200;
+/// How long what is too large to be written is set aside.
+const HELD_MS: Ms = 2_000;
 
 impl Leader {
     pub(super) fn chunk_value(&self, job: &Job, chunk: usize, tag: u64, tables: &Tables) -> Value {
@@ -43,7 +47,7 @@
     /// sooner. Ends wait for one another: nothing but the reaping of what has
     /// ended depends on them, and a later leader learns them from the workers.
     fn write_class(job: &Job, now: Ms, spare: bool) -> Option<u8> {
-        if job.stale {
+        if job.stale || job.rechunking {
             return None;
         }
         if job.status != Status::Pending {
@@ -74,6 +78,7 @@
             }
         }
         self.flying.is_some()
+            || self.to_rechunk(now, spare).is_some()
             || (spare && !self.drops.is_empty())
             || self.active.iter().any(|&j| self.job(j).is_some_and(|j| Leader::write_class(j, now, spare).is_some()))
     }
@@ -90,7 +95,11 @@
             f.sent = true;
             return Some(f.txn.clone());
         }
-        let max_ops = max_ops.min(self.cfg.txn_ops);
+        let max_ops = max_ops.min(self.cfg.txn_ops).min(self.ops_cap);
+        if let Some(txn) = self.rechunk(now, max_ops, spare) {
+            return Some(txn);
+        }
+        let mut oversize: Vec<(JobIx, usize)> = Vec::new();
         let mut order: Vec<(u8, i64, JobIx)> = self
             .active
             .iter()
@@ -121,7 +130,8 @@
                 txn.writes.push(Op::Put { key: records::job_key(&job.id), v, permit: None });
                 dones.push(ix);
             } else {
-                let due = |c: &Chunk| c.urgent > c.committed || (class == 5 && c.ver != c.committed);
+                let due =
+                    |c: &Chunk| now >= c.held_until && (c.urgent > c.committed || (class == 5 && c.ver != c.committed));
                 let dirty: Vec<usize> = (0..job.chunks.len()).filter(|&c| due(&job.chunks[c])).collect();
                 // Split between trees, unless one alone is more than a transaction takes.
                 if dirty.len() > left && left < max_ops {
@@ -133,7 +143,13 @@
                     }
                     let v = self.chunk_value(job, c, tag, tables);
                     let key = records::chunk_key(&job.id, c as u32);
-                    size += records::json_size(&v) + 64;
+                    let bytes = records::json_size(&v);
+                    // Guard: what is too large is never sent again as it is.
+                    if bytes > self.value_limit {
+                        oversize.push((ix, c));
+                        continue;
+                    }
+                    size += bytes + 64;
                     txn.conditions.push(Condition { key: key.clone(), stamp: job.chunks[c].stamp });
                     txn.writes.push(Op::Put { key, v, permit: None });
                     chunks.push((ix, c, job.chunks[c].ver));
@@ -143,6 +159,9 @@
                 txn.conditions.push(Condition { key: records::job_key(&job.id), stamp: job.stamp });
             }
         }
+        for (ix, c) in oversize {
+            self.shrink(now, ix, c);
+        }
         // Records of jobs that are over go slowly: a large job's must not take
         // the budget from anything that somebody waits for.
         let droppable =
@@ -160,7 +179,87 @@
         // Guard: whoever leads by then, only this leadership's writes count.
         txn.conditions.push(Condition { key: records::LEADER.to_owned(), stamp: self.stamp });
         let out = txn.clone();
-        self.flying = Some(Flying { txn, chunks, dones, drops, tag, sent: true, resync: Vec::new() });
+        self.flying = Some(Flying { txn, chunks, dones, drops, rechunk: None, tag, sent: true, resync: Vec::new() });
+        Some(out)
+    }
+
+    /// A chunk that can't be written as it is: what was placed but not written
+    /// is taken back, the rest waits for ends.
+    fn shrink(&mut self, now: Ms, ix: JobIx, c: usize) {
+        let Some(job) = self.job_mut(ix) else { return };
+        let (from, size) = (c * job.chunk_size as usize, job.chunk_size as usize);
+        job.chunks[c].held_until = now + HELD_MS;
+        job.not_before = job.not_before.max(now + HELD_MS);
+        let committed = job.chunks[c].committed;
+        let part = from..(from + size).min(job.slots.len());
+        let at = job.slots[part].iter().filter_map(|s| if let Slot::At(p) = s { Some(*p) } else { None });
+        let at: Vec<PlaceIx> = at.collect();
+        for p in at {
+            let is_unwritten =
+                |p: &Place| p.ver > committed && p.state == PlaceState::Wanted && p.sent.is_none() && !p.inherited;
+            if self.place(p).is_some_and(is_unwritten) {
+                self.free_place(p, false);
+            }
+        }
+    }
+
+    /// An unfinished job whose tasks were divided under a larger limit, none of
+    /// them placed or done: its division can be changed in one transaction.
+    fn to_rechunk(&self, now: Ms, spare: bool) -> Option<&Job> {
+        let is_ready = |j: &&Job| {
+            j.outsized.is_some()
+                && j.status == Status::Pending
+                && !j.stale
+                && j.placed == 0
+                && j.done == 0
+                && j.chunks.iter().filter(|c| c.stamp != 0).count() < self.cfg.txn_ops.min(self.ops_cap)
+        };
+        // Guard: a controller of the version before would go on with the old division.
+        if !self.may_rechunk {
+            return None;
+        }
+        // Until it must be, it takes nothing from what somebody waits for.
+        let must = self.value_limit <= self.cfg.value_fit;
+        if !(must || spare) || now < self.rechunk_after {
+            return None;
+        }
+        self.active.iter().filter_map(|&ix| self.job(ix)).find(is_ready)
+    }
+
+    fn rechunk(&mut self, now: Ms, max_ops: usize, spare: bool) -> Option<Txn> {
+        let job = self.to_rechunk(now, spare)?;
+        let record = JobRecord { chunk: self.cfg.chunk_fit, ..(**job.outsized.as_ref()?).clone() };
+        let key = records::job_key(&job.id);
+        let mut txn = Txn::default();
+        txn.conditions.push(Condition { key: key.clone(), stamp: job.stamp });
+        txn.writes.push(Op::Put { key, v: records::to_value(&record), permit: None });
+        for (n, c) in job.chunks.iter().enumerate().filter(|(_, c)| c.stamp != 0) {
+            let key = records::chunk_key(&job.id, n as u32);
+            txn.conditions.push(Condition { key: key.clone(), stamp: c.stamp });
+            txn.writes.push(Op::Delete { key });
+        }
+        if txn.writes.len() > max_ops {
+            return None;
+        }
+        // Guard: as for every transaction of a leader.
+        txn.conditions.push(Condition { key: records::LEADER.to_owned(), stamp: self.stamp });
+        let ix = job.ix;
+        self.tag += 1;
+        self.rechunk_after = now + RECHUNK_GAP_MS;
+        let out = txn.clone();
+        if let Some(job) = self.job_mut(ix) {
+            job.rechunking = true;
+        }
+        self.flying = Some(Flying {
+            txn,
+            chunks: Vec::new(),
+            dones: Vec::new(),
+            drops: Vec::new(),
+            rechunk: Some(ix),
+            tag: self.tag,
+            sent: true,
+            resync: Vec::new(),
+        });
         Some(out)
     }
 
@@ -182,6 +281,7 @@
                     self.give_back(f);
                 }
             }
+            CommitOutcome::TooLarge => self.too_large(now, f),
             CommitOutcome::Unknown => {
                 // Guard: it may yet be applied. The same transaction again, on
                 // the same conditions, can be applied only once in all.
@@ -202,8 +302,10 @@
                             .copied()
                             .filter(|&j| self.job(j).is_some_and(|j| &*j.id == id))
                             .collect();
+                        let sent = f.txn.conditions.iter().find(|c| c.key == *key).map_or(0, |c| c.stamp);
                         for ix in stale {
-                            if let Some(j) = self.job_mut(ix) {
+                            // Unless the mirror has shown the change already.
+                            if let Some(j) = self.job_mut(ix).filter(|j| j.stamp == sent) {
                                 j.stale = true;
                             }
                         }
@@ -226,7 +328,42 @@
         true
     }
 
+    /// The first 400 shows that the lower limits hold; what fits them and is
+    /// refused all the same is cut smaller, and in the end set aside.
+    fn too_large(&mut self, now: Ms, mut f: Flying) {
+        if self.value_limit > self.cfg.value_fit {
+            tracing::warn!(bytes = self.cfg.value_fit, "values are kept smaller from now on");
+            self.value_limit = self.cfg.value_fit;
+            self.commit_after = now + 150;
+        } else {
+            self.commit_after = now + 1_000;
+            self.ops_cap = (f.txn.writes.len() / 2).max(1);
+            if f.txn.writes.len() == 1 {
+                for &(ix, c, _) in &f.chunks {
+                    self.shrink(now, ix, c);
+                }
+                for &ix in &f.dones {
+                    tracing::error!(job = ix.0, "the end of a job can't be written");
+                }
+            }
+        }
+        // Guard: an earlier copy went unanswered; who wrote last is read first.
+        if f.tag & UNSURE != 0 {
+            let keys = f.chunks.iter().filter_map(|&(ix, c, _)| Some(records::chunk_key(&self.job(ix)?.id, c as u32)));
+            f.resync = keys.collect();
+            if !f.resync.is_empty() {
+                f.sent = false;
+                self.flying = Some(f);
+                return;
+            }
+        }
+        self.give_back(f);
+    }
+
     fn give_back(&mut self, f: Flying) {
+        if let Some(job) = f.rechunk.and_then(|ix| self.job_mut(ix)) {
+            job.rechunking = false;
+        }
         for key in f.drops {
             let stamp = f.txn.conditions.iter().find(|c| c.key == key).map_or(0, |c| c.stamp);
             self.drops.push_back((key, stamp));
@@ -271,6 +408,11 @@
             }
         }
         self.wake.extend(told.into_iter().map(|m| (now, m)));
+        let chunk_fit = self.cfg.chunk_fit;
+        if let Some(job) = f.rechunk.and_then(|ix| self.job_mut(ix)).filter(|j| j.rechunking) {
+            job.stamp = epoch;
+            job.divide(chunk_fit);
+        }
         for &ix in &f.dones {
             if let Some(job) = self.job_mut(ix) {
                 job.stamp = epoch;
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -43,6 +43,11 @@
     pub report_ms: Ms,
     pub gang_peer_s: f64,
     pub txn_ops: usize,
+    /// Bytes of a value: the limit as it is, what fits later as well, and tasks
+    /// per chunk that do.
+    pub value_max: usize,
+    pub value_fit: usize,
+    pub chunk_fit: u32,
     pub list_lag_ms: Ms,
     pub teams: Vec<TeamLimits>,
     /// What users want of a class: starts or ends within some seconds.
@@ -111,6 +116,8 @@
     Conflict(Vec<String>),
     /// Certainly not executed.
     Refused,
+    /// Not executed, and as it is it never will be.
+    TooLarge,
     /// May have been executed, or may yet be.
     Unknown,
 }
@@ -122,6 +129,8 @@
     chunks: Vec<(JobIx, usize, u64)>,
     dones: Vec<JobIx>,
     drops: Vec<String>,
+    /// A job whose tasks it divides anew.
+    rechunk: Option<JobIx>,
     tag: u64,
     sent: bool,
     /// Keys to read before anything else, to learn whether it was applied.
@@ -145,6 +154,13 @@
     pub stamp: u64,
     /// The latest moment heard of.
     pub clock: Ms,
+    /// Largest value that the state service is known to take, and most writes
+    /// of a transaction.
+    pub value_limit: usize,
+    ops_cap: usize,
+    /// All controllers follow a job whose tasks are divided anew.
+    pub may_rechunk: bool,
+    rechunk_after: Ms,
     /// The time of day is so far ahead of the steady clock.
     day_ms: i64,
     pub started: Ms,
@@ -205,13 +221,17 @@
             quiet: (i64::MIN / 2, i64::MAX / 2),
             next_summary: now + 10_000,
             written_since: Written::default(),
-            cfg,
             stamp,
             clock: now,
+            value_limit: cfg.value_max,
+            ops_cap: usize::MAX,
+            may_rechunk: false,
+            rechunk_after: 0,
             day_ms: 0,
             started: now,
             loaded: false,
             jobs: Vec::new(),
+            cfg,
             active: Vec::new(),
             machines: Vec::new(),
             machine_ix: HashMap::new(),
@@ -290,6 +310,14 @@
             (Some(job), Status::Pending) => {
                 job.stamp = e.stamp;
                 job.stale = false;
+                if job.chunk_size != e.chunk {
+                    // Our own write; nothing was placed since it was sent.
+                    if job.placed == 0 {
+                        job.divide(e.chunk);
+                    } else {
+                        tracing::error!(job = &*job.id, "divided anew while tasks are placed");
+                    }
+                }
                 if let Some(spec) = mirror.effective_spec(ix) {
                     self.change_spec(ix, spec);
                 }
@@ -333,6 +361,7 @@
     pub(super) fn add_job(&mut self, now: Ms, wall_ms: u64, ix: JobIx, spec: Rc<JobSpec>, mirror: &Mirror) {
         let e = mirror.get(ix);
         let n = spec.tasks;
+        let is_outsized = e.chunk > self.cfg.chunk_fit && n > self.cfg.chunk_fit;
         let age = wall_ms.saturating_sub(mirror.ready_ms(ix)).min(1 << 40) as i64;
         self.jobs[ix.at()] = Some(Job {
             ix,
@@ -350,6 +379,8 @@
             running: 0,
             not_before: 0,
             stale: false,
+            outsized: e.record.clone().filter(|_| is_outsized),
+            rechunking: false,
             unwritten_since: None,
             started: false,
             begun: false,
--- a/src/coordination/leader/places.rs
+++ b/src/coordination/leader/places.rs
@@ -15,6 +15,10 @@
         zone: ZoneIx,
     ) -> Option<PlaceIx> {
         let job = self.jobs.get_mut(job_ix.at()).and_then(Option::as_mut)?;
+        // Guard: its records are being divided anew, on the footing that nothing is placed.
+        if job.rechunking {
+            return None;
+        }
         if job.slots.get(task as usize) != Some(&Slot::Pending) {
             return None;
         }
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, ops, rc::Rc};
 
 use crate::{
-    bookkeeping::{mirror::JobIx, records::Status},
+    bookkeeping::{
+        mirror::JobIx,
+        records::{JobRecord, Status},
+    },
     protocol::{
         jobs::JobSpec,
         names::{TypeIx, ZoneIx},
@@ -128,6 +131,8 @@
     /// The version that last gained a place: its launch waits for the write.
     pub urgent: u64,
     pub stamp: u64,
+    /// Its value is larger than may be written; not to be tried before.
+    pub held_until: Ms,
 }
 
 #[derive(Debug)]
@@ -151,6 +156,10 @@
     pub not_before: Ms,
     /// A transaction found the record changed; wait until the mirror shows it.
     pub stale: bool,
+    /// Its record, while that divides its tasks into larger chunks than fit.
+    pub outsized: Option<Rc<JobRecord>>,
+    /// Its tasks are being divided anew: nothing of it may be placed.
+    pub rechunking: bool,
     /// Since when ends wait to be written.
     pub unwritten_since: Option<Ms>,
     /// A task ended done, or ran long enough to count as a start.
@@ -183,6 +192,18 @@
         (task / self.chunk_size) as usize
     }
 
+    /// Divides the tasks anew. Nothing may be placed.
+    pub fn divide(&mut self, size: u32) {
+        self.chunk_size = size.max(1);
+        self.chunks = vec![Chunk::default(); self.spec.tasks.div_ceil(self.chunk_size) as usize];
+        for task in 0..self.spec.tasks {
+            if self.slots[task as usize] == Slot::Done {
+                self.touch(task);
+            }
+        }
+        (self.outsized, self.rechunking) = (None, false);
+    }
+
     pub fn touch(&mut self, task: u32) -> u64 {
         let c = self.chunk_of(task);
         self.chunks[c].ver += 1;
--- a/src/coordination/pass.rs
+++ b/src/coordination/pass.rs
@@ -116,7 +116,9 @@
             .active
             .iter()
             .filter_map(|&ix| self.job(ix))
-            .filter(|j| j.status == Status::Pending && !j.pending.is_empty() && now >= j.not_before && !j.stale)
+            .filter(|j| {
+                j.status == Status::Pending && !j.pending.is_empty() && now >= j.not_before && !j.stale && !j.rechunking
+            })
             // A gang starts anew only once all of its old attempt is gone.
             .filter(|j| j.spec.kind != Kind::Gang || j.placed == 0)
             .map(|j| match j.spec.priority {
@@ -209,7 +211,21 @@
                 tracing::debug!(job = &*job.id, room, "at its team's limit");
                 continue;
             }
-            let tasks: Vec<u32> = job.pending.iter().rev().take(n).copied().collect();
+            let tasks: Vec<u32> = match self.chunk_room(job) {
+                None => job.pending.iter().rev().take(n).copied().collect(),
+                Some(mut room) => {
+                    let mut fits = |&&t: &&u32| {
+                        let left = &mut room[job.chunk_of(t)];
+                        *left = left.saturating_sub(1);
+                        *left > 0
+                    };
+                    job.pending.iter().rev().filter(|t| fits(t)).take(n).copied().collect()
+                }
+            };
+            let n = tasks.len();
+            if n == 0 {
+                continue;
+            }
             let min = if gang { n } else { 1 };
             let zone_used = job.zone_used.clone();
             let fresh = zone_used.iter().all(|&n| n == 0);
@@ -253,6 +269,25 @@
         self.fleet.unmet = unmet;
     }
 
+    /// Guard: a record that was divided under a larger limit takes only as many
+    /// places at a time as can be written. By chunk, how many more, and one.
+    fn chunk_room(&self, job: &Job) -> Option<Vec<u32>> {
+        if self.value_limit > self.cfg.value_fit || job.chunk_size <= self.cfg.chunk_fit {
+            return None;
+        }
+        if job.spec.kind == Kind::Gang {
+            return None;
+        }
+        let mut room = vec![self.cfg.chunk_fit + 1; job.chunks.len()];
+        for (n, s) in job.slots.iter().enumerate() {
+            if matches!(s, Slot::At(_)) {
+                let left = &mut room[job.chunk_of(n as u32)];
+                *left = left.saturating_sub(1);
+            }
+        }
+        Some(room)
+    }
+
     /// Guard: smaller work takes every machine that a large gang could begin to
     /// collect. What there is of room for one that is due is kept from all
     /// after it, pass by pass, until there is enough. True if something was kept.
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -40,21 +40,21 @@
             return;
         }
         self.budget_leading = Some(leading);
-        let st = &self.settings.cluster.state;
+        let (rps, write_rps) = self.settings.cluster.state.rates(self.limits_lowered);
         let all = self.peers.len() + 1;
         let used = |of: fn(&Peer) -> f64| -> Vec<Option<f64>> {
             self.peers.iter().map(|p| p.heard.filter(|h| now < h + PEER_SILENT_MS).map(|_| of(p))).collect()
         };
-        let reads = share(st.rps, if leading { Part::Leader } else { Part::Users(all) }, &used(|p| p.reads_used));
+        let reads = share(rps, if leading { Part::Leader } else { Part::Users(all) }, &used(|p| p.reads_used));
         let mut others = used(|p| p.writes_used + p.commits_used);
         others.push(Some(self.commits.used(now)));
-        let writes = share(st.write_rps, Part::Users(all), &others);
+        let writes = share(write_rps, Part::Users(all), &others);
         let mut others = used(|p| p.writes_used);
         others.push(Some(self.writes.used(now)));
-        let commits = share(st.write_rps, Part::Leader, &others);
-        self.reads.set(reads, st.rps * if leading { 0.5 } else { 0.2 });
-        self.writes.set(writes, (st.write_rps * 0.2).max(4.0));
-        self.commits.set(commits, (st.write_rps * 0.5).max(4.0));
+        let commits = share(write_rps, Part::Leader, &others);
+        self.reads.set(reads, rps * if leading { 0.5 } else { 0.2 });
+        self.writes.set(writes, (write_rps * 0.2).max(4.0));
+        self.commits.set(commits, (write_rps * 0.5).max(4.0));
     }
 
     pub(super) fn lead(&mut self, net: &mut Net) {
@@ -89,6 +89,7 @@
         }
         // What this controller kept itself, while it did not lead, counts too.
         let (from, to) = self.witness.span();
+        l.may_rechunk = self.versions.is_complete();
         l.quiet = (from.max(self.keeper.last as i64), to);
         l.sweep(now);
         l.fleet_step(now, &self.tables);
@@ -277,6 +278,10 @@
                     CommitOutcome::Refused
                 }
                 503 => CommitOutcome::Refused,
+                400 => {
+                    tracing::warn!("the state service takes no transaction like this one (400)");
+                    CommitOutcome::TooLarge
+                }
                 other => {
                     tracing::error!(status = other, "the state service refuses a transaction");
                     CommitOutcome::Refused
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -195,10 +195,10 @@
             // Never for a job that was accepted: look once more first.
             return self.barrier.join(now, Waiter::Refuse { conn, id, status: 422, why });
         }
-        let chunk = records::chunk_size(self.settings.cluster.state.value_kb);
+        let chunk = self.chunk_size();
         let record = Rc::new(JobRecord { submission: sub, status: Status::Pending, at_ms: wall_ms(), chunk });
         let v = records::to_value(&*record);
-        if records::json_size(&v) as f64 > self.settings.cluster.state.value_kb * 1024.0 {
+        if records::json_size(&v) as f64 > self.settings.cluster.state.fitting_value_kb() * 1024.0 {
             return self.barrier.join(now, Waiter::Refuse { conn, id, status: 400, why: "too long for a record" });
         }
         // Guard: while an old controller may be there, nothing is accepted that
@@ -229,7 +229,7 @@
     fn prereqs(&self, record: &JobRecord) -> Prereqs {
         // One condition is for the job's own key. Records of jobs are never
         // removed, so those beyond stand by having been read.
-        let most = 4 * self.settings.cluster.state.txn_ops - 1;
+        let most = 4 * self.settings.cluster.state.fitting_txn_ops() - 1;
         let mut conditions = Vec::new();
         let mut has_service = false;
         for p in record.submission.prereqs() {
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -198,6 +198,8 @@
     /// Who is known to run this version, and the key that says that this one does.
     pub versions: Evidence,
     pub version_written: bool,
+    /// The state service has shown that `state.next` holds.
+    pub limits_lowered: bool,
     pub version_write: Loop,
     pub version_read: Loop,
 }
@@ -280,6 +282,7 @@
             next_told: 0,
             versions: Evidence::new(settings.seeds.iter().map(|s| &*s.label).chain(std::iter::once(&*settings.label))),
             version_written: false,
+            limits_lowered: false,
             version_write: Loop::default(),
             version_read: Loop::default(),
             settings,
@@ -287,7 +290,25 @@
         }
     }
 
+    /// Tasks per chunk of a job that is recorded now.
+    pub fn chunk_size(&self) -> u32 {
+        let c = &self.settings.cluster;
+        let zone_len = c.zones.iter().map(String::len).max().unwrap_or(16);
+        records::chunk_size(c.state.fitting_value_kb(), zone_len)
+    }
+
+    /// The limits that were announced hold now, as an answer shows.
+    fn lower_limits(&mut self) {
+        let st = &self.settings.cluster.state;
+        if st.next.is_some() && !self.limits_lowered {
+            tracing::warn!(rates = ?st.rates(true), "the state service's limits are lowered");
+            self.limits_lowered = true;
+            self.budget_leading = None;
+        }
+    }
+
     pub fn leader_config(&mut self) -> Config {
+        let chunk_fit = self.chunk_size();
         let c = &self.settings.cluster;
         let set = |x: f64| (x > 0.0).then_some(x);
         let report_ms = (c.workers.report_s * 1000.0) as Ms;
@@ -309,7 +330,10 @@
             lease_ms: (c.workers.lease_s * 1000.0) as Ms,
             report_ms,
             gang_peer_s: c.workers.gang_peer_s,
-            txn_ops: c.state.txn_ops,
+            txn_ops: c.state.fitting_txn_ops(),
+            value_max: (c.state.value_kb * 1024.0) as usize,
+            value_fit: (c.state.fitting_value_kb() * 1024.0) as usize,
+            chunk_fit,
             list_lag_ms: (c.cloud.list_lag_s * 1000.0) as Ms,
             teams: c
                 .teams
@@ -485,6 +509,8 @@
             Ok(r) => {
                 if r.status == 429 {
                     self.reads.refused(now);
+                    // Budgets keep below the limits as they are.
+                    self.lower_limits();
                 }
                 self.state_ok = now;
                 self.state_bad_since = None;
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -85,6 +85,45 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// What will hold from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// None: as now.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct NextLimits {
+    pub rps: Option<f64>,
+    pub write_rps: Option<f64>,
+    pub value_kb: Option<f64>,
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    fn least(&self, of: fn(&NextLimits) -> Option<f64>, now: f64) -> f64 {
+        self.next.as_ref().and_then(of).map_or(now, |n| n.min(now))
+    }
+
+    /// Size of a value that fits now and later.
+    pub fn fitting_value_kb(&self) -> f64 {
+        self.least(|n| n.value_kb, self.value_kb)
+    }
+
+    /// Writes of a transaction that fit now and later, and into a burst of
+    /// one second.
+    pub fn fitting_txn_ops(&self) -> usize {
+        let ops = self.next.as_ref().and_then(|n| n.txn_ops).map_or(self.txn_ops, |n| n.min(self.txn_ops));
+        ops.min(self.rates(true).1 as usize).max(1)
+    }
+
+    /// Requests and writes a second, as they are now or `later`.
+    pub fn rates(&self, later: bool) -> (f64, f64) {
+        if later {
+            (self.least(|n| n.rps, self.rps), self.least(|n| n.write_rps, self.write_rps))
+        } else {
+            (self.rps, self.write_rps)
+        }
+    }
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -150,6 +189,12 @@
                 return Err((field, message));
             }
         }
+        if let Some(n) = &c.state.next {
+            let amounts = [n.rps, n.write_rps, n.value_kb];
+            if amounts.into_iter().flatten().any(|x| !positive(x)) || n.txn_ops == Some(0) {
+                return Err(("cluster.state.next", "must be above 0"));
+            }
+        }
         for t in &c.teams {
             let amounts = [t.cpus, t.cpus_max, t.gpus, t.gpus_max];
             if t.name.is_empty() || amounts.iter().any(|x| !x.is_finite() || *x < 0.0) {
@@ -213,6 +258,9 @@
             ("zero lease", "lease_s = 30", "lease_s = 0", Some("lease_s")),
             ("NaN", "lease_s = 30", "lease_s = nan", Some("lease_s")),
             ("bad address", "cloud = \"127.0.0.1:1\"", "cloud = \"here\"", Some("cloud")),
+            ("next limits", "txn_ops = 24", "txn_ops = 24\n[cluster.state.next]\nvalue_kb = 2", None),
+            ("no writes later", "txn_ops = 24", "txn_ops = 24\n[cluster.state.next]\ntxn_ops = 0", Some("next")),
+            ("no value later", "txn_ops = 24", "txn_ops = 24\n[cluster.state.next]\nvalue_kb = nan", Some("next")),
             ("negative team", "gpus = 8.0", "gpus = -8.0", Some("teams")),
         ];
         for (name, from, to, want) in cases {
@@ -227,4 +275,23 @@
             }
         }
     }
+
+    #[test]
+    fn the_smaller_of_both_limits() {
+        // (next, value, operations, rates later)
+        let cases = [
+            ("", 16.0, 24, (100.0, 30.0)),
+            ("value_kb = 2.0\ntxn_ops = 4\nwrite_rps = 21.0", 2.0, 4, (100.0, 21.0)),
+            ("value_kb = 64.0\ntxn_ops = 99\nrps = 500.0\nwrite_rps = 500", 16.0, 24, (100.0, 30.0)),
+            ("rps = 10.0\nwrite_rps = 3.5", 16.0, 3, (10.0, 3.5)),
+            ("write_rps = 0.5", 16.0, 1, (100.0, 0.5)),
+        ];
+        for (next, value, ops, rates) in cases {
+            let text = SAMPLE.replacen("[cluster.cloud]", &format!("[cluster.state.next]\n{next}\n[cluster.cloud]"), 1);
+            let st = Settings::parse(&text, "x.toml").unwrap().cluster.state;
+            let got = (st.fitting_value_kb(), st.fitting_txn_ops(), st.rates(true));
+            assert_eq!(got, (value, ops, rates), "{next}");
+            assert_eq!(st.rates(false), (100.0, 30.0), "{next}");
+        }
+    }
 }
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,178 @@
+//! The state service lowers its limits without notice: nothing loops, and no
+//! job is lost.
+
+// Not all of it is used here.
+#[allow(dead_code)]
+mod world;
+
+use shedhook::{
+    bookkeeping::records::{chunk_size, job_key, JobRecord, Status},
+    protocol::jobs::Submission,
+};
+use world::{sub, Weather, World};
+
+const KB: usize = 1_024;
+
+fn small(id: &str, kind: &str, tasks: u32) -> Submission {
+    Submission { cpus: Some(0.1), memory_gb: Some(0.1), ..sub(id, kind, tasks) }
+}
+
+/// Jobs are recorded under 16 KiB, 1 KiB is announced.
+fn world(seed: u64) -> World {
+    let mut w = World::new(seed, 4);
+    (w.slots, w.chunk) = (80, 64);
+    (w.value_now, w.value_max, w.value_fit) = (16 * KB, 16 * KB, KB);
+    w.chunk_fit = chunk_size(1.0, 1);
+    assert!(w.chunk_fit < 16, "{}", w.chunk_fit);
+    w.elect();
+    w
+}
+
+fn chunk_of(w: &World, id: &str) -> u32 {
+    let rec: JobRecord = w.store.keys[&job_key(id)].0.deserialized().unwrap();
+    rec.chunk
+}
+
+fn done(ids: &'static [&'static str]) -> impl Fn(&World) -> bool {
+    move |w| ids.iter().all(|id| w.status(id) == Status::Done)
+}
+
+/// Guard: a full record of before is too large for ever. What runs goes on,
+/// what isn't placed yet is placed in parts.
+fn lowered_while_an_array_runs(w: &mut World) {
+    w.vary = 2_000;
+    w.submit(small("j-1", "batch", 120), 5_000);
+    w.until("runs", 10_000, |w| w.where_is("j-1/60").is_some());
+    w.value_now = KB;
+    w.submit(small("j-2", "batch", 120), 2_000);
+    w.submit(small("j-3", "batch", 4), 2_000);
+    w.until("done", 200_000, done(&["j-1", "j-2", "j-3"]));
+}
+
+/// Guard: a gang whose record can't be written is divided anew.
+fn lowered_before_a_gang_starts(w: &mut World) {
+    w.may_rechunk = true;
+    w.value_now = KB;
+    w.submit(small("j-1", "ensemble", 60), 5_000);
+    w.submit(small("j-2", "ensemble", 10), 5_000);
+    w.until("done", 60_000, done(&["j-1", "j-2"]));
+    assert_eq!((chunk_of(w, "j-1"), chunk_of(w, "j-2")), (w.chunk_fit, 64), "what fits stays");
+}
+
+fn lowered_while_a_gang_runs(w: &mut World) {
+    w.may_rechunk = true;
+    w.submit(small("j-1", "ensemble", 60), 20_000);
+    let gone = w.add_worker("a");
+    // It runs on under the old division; lost, it is divided anew.
+    w.until("runs", 20_000, |w| w.where_is("j-1/59").is_some());
+    w.value_now = KB;
+    let n = w.workers.iter().position(|x| x.id == gone).unwrap();
+    w.workers[n].dead = true;
+    for x in &mut w.workers {
+        if !x.tasks.is_empty() {
+            x.restart(w.now);
+            break;
+        }
+    }
+    w.until("done", 120_000, done(&["j-1"]));
+    assert_eq!(chunk_of(w, "j-1"), w.chunk_fit);
+    assert!(w.too_large <= 1, "{} refused", w.too_large);
+}
+
+/// Guard: while an old controller may be there, no division is changed.
+fn an_old_controller_may_be_left(w: &mut World) {
+    w.value_now = KB;
+    w.submit(small("j-1", "ensemble", 60), 5_000);
+    w.submit(small("j-2", "batch", 6), 5_000);
+    w.until("others go on", 60_000, done(&["j-2"]));
+    w.run(60_000);
+    assert!(w.status("j-1") == Status::Pending && chunk_of(w, "j-1") == 64);
+    assert!(w.too_large < 5, "{} refused", w.too_large);
+    w.may_rechunk = true;
+    w.until("done", 60_000, done(&["j-1"]));
+}
+
+fn leaders_change_while_it_is_divided(w: &mut World) {
+    w.may_rechunk = true;
+    for (n, id) in ["j-1", "j-2", "j-3", "j-4"].into_iter().enumerate() {
+        w.submit(small(id, if n % 2 == 0 { "ensemble" } else { "batch" }, 60), 5_000);
+        (w.die_after_txn, w.die_before_txn) = (n % 2 == 0, n % 2 == 1);
+        w.until("dead", 20_000, |w| w.leader.is_none());
+        w.elect();
+    }
+    w.value_now = KB;
+    w.until("done", 120_000, done(&["j-1", "j-2", "j-3", "j-4"]));
+}
+
+fn answers_are_lost_while_it_is_divided(w: &mut World) {
+    w.may_rechunk = true;
+    w.weather = Weather { lost_txn: 60, ..Weather::default() };
+    for id in ["j-1", "j-2", "j-3"] {
+        w.submit(small(id, "ensemble", 60), 3_000);
+        w.run(1_500);
+    }
+    w.weather = Weather::default();
+    w.value_now = KB;
+    w.until("done", 200_000, done(&["j-1", "j-2", "j-3"]));
+    w.run(45_000);
+}
+
+fn cancelled_while_it_is_divided(w: &mut World) {
+    w.may_rechunk = true;
+    w.weather = Weather { lost_txn: 60, ..Weather::default() };
+    for id in ["j-1", "j-2", "j-3"] {
+        w.submit(small(id, "ensemble", 60), 3_000);
+        w.run(300);
+        w.cancel(id);
+    }
+    w.weather = Weather::default();
+    w.submit(small("j-4", "ensemble", 60), 3_000);
+    w.until("done", 60_000, done(&["j-4"]));
+    w.run(90_000);
+}
+
+/// Guard: fewer writes in a transaction than the settings say: it is cut
+/// smaller, not repeated as it was.
+fn fewer_writes_than_announced(w: &mut World) {
+    w.ops_now = 2;
+    w.chunk = 4;
+    w.submit(small("j-1", "batch", 60), 5_000);
+    w.submit(small("j-2", "ensemble", 30), 5_000);
+    w.until("done", 200_000, done(&["j-1", "j-2"]));
+    assert!(w.too_large < 8, "{} refused", w.too_large);
+}
+
+/// An answer is lost at the moment of the change: the same again is refused.
+fn an_unanswered_one_is_refused(w: &mut World) {
+    w.run(3_000);
+    w.submit(small("j-1", "batch", 120), 5_000);
+    w.weather = Weather { lost_txn: 100, ..Weather::default() };
+    w.until("on its way", 10_000, |w| w.txns > 0);
+    w.value_now = KB;
+    w.weather = Weather::default();
+    w.until("done", 200_000, done(&["j-1"]));
+    w.run(45_000);
+}
+
+#[test]
+fn lowered_limits_table() {
+    type Case = (&'static str, fn(&mut World));
+    let cases: &[Case] = &[
+        ("an array runs", lowered_while_an_array_runs),
+        ("before a gang starts", lowered_before_a_gang_starts),
+        ("while a gang runs", lowered_while_a_gang_runs),
+        ("an old controller may be left", an_old_controller_may_be_left),
+        ("leaders change", leaders_change_while_it_is_divided),
+        ("answers are lost", answers_are_lost_while_it_is_divided),
+        ("cancelled", cancelled_while_it_is_divided),
+        ("fewer writes", fewer_writes_than_announced),
+        ("an unanswered one is refused", an_unanswered_one_is_refused),
+    ];
+    for (n, (name, case)) in cases.iter().enumerate() {
+        eprintln!("case: {name}");
+        let mut w = world(n as u64);
+        case(&mut w);
+        eprintln!("  refused as too large: {}", w.too_large);
+        w.check(name);
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -277,6 +277,16 @@
     pub unspoken: Option<Ms>,
     /// The controller reads no changes.
     pub blind: bool,
+    /// Values that the state service takes now, in bytes, those that fit
+    /// later too, and tasks per chunk that do; no limit at first.
+    pub value_now: usize,
+    pub value_max: usize,
+    pub value_fit: usize,
+    pub chunk_fit: u32,
+    /// Most writes of a transaction that it takes.
+    pub ops_now: usize,
+    pub too_large: usize,
+    pub may_rechunk: bool,
     /// Where writes are counted; elsewhere they are free.
     pub writes: Option<Writes>,
 }
@@ -340,6 +350,13 @@
             last_kept: 0,
             unspoken: None,
             blind: false,
+            value_now: usize::MAX,
+            value_max: usize::MAX,
+            value_fit: usize::MAX,
+            chunk_fit: u32::MAX,
+            ops_now: usize::MAX,
+            too_large: 0,
+            may_rechunk: false,
             writes: None,
         };
         w.tables.teams.intern("red");
@@ -402,6 +419,9 @@
             report_ms: REPORT,
             gang_peer_s: 8.0,
             txn_ops: 8,
+            value_max: self.value_max,
+            value_fit: self.value_fit,
+            chunk_fit: self.chunk_fit,
             list_lag_ms: 1_000,
             teams: vec![TeamLimits {
                 gpus_max: (self.team_gpus_max > 0.0).then_some(self.team_gpus_max),
@@ -721,7 +741,10 @@
 
     fn is_written(&self, task: &str, worker: &str, attempt: u64) -> bool {
         let Some((job, n)) = split_task(task) else { return false };
-        let size = self.jobs.get(job).map_or(self.chunk, |f| self.chunk_size(&f.sub));
+        // As its record says, which may have been written anew.
+        let rec = self.store.keys.get(&records::job_key(job));
+        let rec = rec.and_then(|(v, _)| v.deserialized::<JobRecord>().ok());
+        let size = rec.map_or(self.chunk, |r| r.chunk);
         let rec = self.store.keys.get(&records::chunk_key(job, n / size));
         let rec = rec.and_then(|(v, _)| v.deserialized::<ChunkRecord>().ok());
         rec.is_some_and(|r| r.places.iter().any(|p| p.0 == n && p.1 == worker && p.3 == attempt))
@@ -865,6 +888,7 @@
         if let Some(since) = self.unspoken {
             l.quiet.0 = l.quiet.0.min(since as i64);
         }
+        l.may_rechunk = self.may_rechunk;
         l.sweep(now);
         self.cloud |= self.capacity > 0;
         if self.cloud {
@@ -925,6 +949,14 @@
             return;
         }
         self.txns_left = self.txns_left.map(|n| n - 1);
+        let too_large = |w: &Op| matches!(w, Op::Put { v, .. } if records::json_size(v) > self.value_now);
+        if txn.writes.len() > self.ops_now || txn.writes.iter().any(too_large) {
+            self.too_large += 1;
+            if let Some(l) = &mut self.leader {
+                l.committed(now, CommitOutcome::TooLarge);
+            }
+            return;
+        }
         if self.chance(self.weather.lost_txn) {
             if self.rng.random_range(0..2) == 0 {
                 let _ = self.store.apply(&txn);
