--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -92,42 +92,62 @@
     w.until("done", 60_000, done(&["j-1"]));
 }
 
-fn leaders_change_while_it_is_divided(w: &mut World) {
+/// The leader has met the lower limit; what it writes next is the new division.
+fn about_to_divide(w: &mut World, id: &str, kind: &str) {
     w.may_rechunk = true;
-    for (n, id) in ["j-1", "j-2", "j-3", "j-4"].into_iter().enumerate() {
-        w.submit(small(id, if n % 2 == 0 { "ensemble" } else { "batch" }, 60), 5_000);
-        (w.die_after_txn, w.die_before_txn) = (n % 2 == 0, n % 2 == 1);
-        w.until("dead", 20_000, |w| w.leader.is_none());
-        w.elect();
-    }
     w.value_now = KB;
-    w.until("done", 120_000, done(&["j-1", "j-2", "j-3", "j-4"]));
+    let before = w.too_large;
+    w.submit(small(id, kind, 60), 5_000);
+    // With budget to spare it may be divided before anything is refused.
+    w.until("refused", 20_000, |w| w.too_large > before || chunk_of(w, id) != 64);
+}
+
+fn the_leader_dies_before_it_divides(w: &mut World) {
+    about_to_divide(w, "j-1", "ensemble");
+    w.die_before_txn = true;
+    w.until("dead", 20_000, |w| w.leader.is_none());
+    assert_eq!(chunk_of(w, "j-1"), 64);
+    w.elect();
+    w.until("done", 120_000, done(&["j-1"]));
 }
 
+fn the_leader_dies_after_it_divided(w: &mut World) {
+    about_to_divide(w, "j-1", "ensemble");
+    w.die_after_txn = true;
+    w.until("dead", 20_000, |w| w.leader.is_none());
+    assert_eq!(chunk_of(w, "j-1"), w.chunk_fit);
+    w.elect();
+    w.until("done", 120_000, done(&["j-1"]));
+}
+
+/// Guard: nothing is placed while it isn't known which division holds.
 fn answers_are_lost_while_it_is_divided(w: &mut World) {
-    w.may_rechunk = true;
-    w.weather = Weather { lost_txn: 60, ..Weather::default() };
-    for id in ["j-1", "j-2", "j-3"] {
-        w.submit(small(id, "ensemble", 60), 3_000);
-        w.run(1_500);
+    for id in ["j-1", "j-2", "j-3", "j-4", "j-5", "j-6"] {
+        w.elect();
+        about_to_divide(w, id, "ensemble");
+        w.weather = Weather { lost_txn: 70, ..Weather::default() };
+        w.run(3_000);
+        w.weather = Weather::default();
     }
-    w.weather = Weather::default();
-    w.value_now = KB;
-    w.until("done", 200_000, done(&["j-1", "j-2", "j-3"]));
+    w.until("done", 200_000, done(&["j-1", "j-2", "j-3", "j-4", "j-5", "j-6"]));
     w.run(45_000);
 }
 
 fn cancelled_while_it_is_divided(w: &mut World) {
-    w.may_rechunk = true;
-    w.weather = Weather { lost_txn: 60, ..Weather::default() };
-    for id in ["j-1", "j-2", "j-3"] {
-        w.submit(small(id, "ensemble", 60), 3_000);
-        w.run(300);
-        w.cancel(id);
+    for (id, at) in [("j-1", 0), ("j-2", 100), ("j-3", 200), ("j-4", 500)] {
+        for lost_txn in [0, 100] {
+            let id = format!("{id}{lost_txn}");
+            w.elect();
+            about_to_divide(w, &id, "ensemble");
+            w.weather = Weather { lost_txn, ..Weather::default() };
+            w.run(at);
+            w.cancel(&id);
+            w.run(1_000);
+            w.weather = Weather::default();
+        }
     }
-    w.weather = Weather::default();
-    w.submit(small("j-4", "ensemble", 60), 3_000);
-    w.until("done", 60_000, done(&["j-4"]));
+    w.submit(small("j-9", "ensemble", 60), 3_000);
+    w.until("done", 60_000, done(&["j-9"]));
     w.run(90_000);
 }
 
@@ -162,7 +182,8 @@
         ("before a gang starts", lowered_before_a_gang_starts),
         ("while a gang runs", lowered_while_a_gang_runs),
         ("an old controller may be left", an_old_controller_may_be_left),
-        ("leaders change", leaders_change_while_it_is_divided),
+        ("leader dies before", the_leader_dies_before_it_divides),
+        ("leader dies after", the_leader_dies_after_it_divided),
         ("answers are lost", answers_are_lost_while_it_is_divided),
         ("cancelled", cancelled_while_it_is_divided),
         ("fewer writes", fewer_writes_than_announced),
