--- a/src/bookkeeping/barrier.rs
+++ b/src/bookkeeping/barrier.rs
@@ -21,6 +21,11 @@
         self.waiting.push((now, who));
     }
 
+    /// The next read need not keep the gap: somebody waits for it who is seldom.
+    pub fn hurry(&mut self, now: u64) {
+        self.not_before = self.not_before.min(now);
+    }
+
     pub fn len(&self) -> usize {
         self.waiting.len() + self.flying.len()
     }
@@ -81,5 +86,11 @@
         b.sent(50, 50);
         assert_eq!(b.overdue(2_000, 1_500), vec!["b"]);
         assert_eq!(b.ended(), Vec::<&str>::new());
+        b.sent(2_000, 50);
+        b.ended();
+        b.join(2_010, "c");
+        assert!(!b.due(2_010), "gap kept");
+        b.hurry(2_010);
+        assert!(b.due(2_010), "gap given up");
     }
 }
--- a/src/bookkeeping/versions.rs
+++ b/src/bookkeeping/versions.rs
@@ -1,7 +1,8 @@
 //! Which controllers run this version: what they may only do once all do.
 //!
-//! A controller of this version writes a key that is never removed,
-//! `version/LABEL`, when it starts. Versions before it know no such key.
+//! A controller of this version writes a key under no grant, `version/LABEL`,
+//! when it starts. Versions before it know no such key. Only an operator who
+//! goes back removes it.
 
 use std::collections::BTreeSet;
 
@@ -26,19 +27,22 @@
 }
 
 /// Evidence that no older version is left: a label whose key was read has had
-/// its old process replaced, and never gets it back.
+/// its old process replaced, and doesn't get it back while the key stands.
 #[derive(Debug, Default)]
 pub struct Evidence {
+    labels: BTreeSet<String>,
     missing: BTreeSet<String>,
 }
 
 impl Evidence {
     pub fn new<'a>(labels: impl Iterator<Item = &'a str>) -> Evidence {
-        Evidence { missing: labels.map(str::to_owned).collect() }
+        let labels: BTreeSet<String> = labels.map(str::to_owned).collect();
+        Evidence { missing: labels.clone(), labels }
     }
 
     /// Guard: only what was read counts; nothing is concluded from silence.
     pub fn saw(&mut self, page: &Page) {
+        self.missing = self.labels.clone();
         for p in &page.pairs {
             let Some(label) = p.key.strip_prefix(VERSIONS) else { continue };
             if p.v.deserialized::<VersionRecord>().is_ok_and(|r| r.version >= VERSION) {
@@ -73,7 +77,9 @@
             (vec![vec![]], false),
             (vec![vec![("version/a", new())]], false),
             (vec![vec![("version/a", new()), ("version/b", new())]], true),
-            (vec![vec![("version/a", new())], vec![("version/b", new())]], true),
+            (vec![vec![("version/a", new())], vec![("version/a", new()), ("version/b", new())]], true),
+            // A key was removed: somebody goes back.
+            (vec![vec![("version/a", new()), ("version/b", new())], vec![("version/b", new())]], false),
             (vec![vec![("version/a", new()), ("version/b", old())]], false),
             (vec![vec![("version/a", new()), ("version/b", Value::Null)]], false),
             (vec![vec![("version/a", new()), ("version/c", new())]], false),
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -311,12 +311,7 @@
                 job.stamp = e.stamp;
                 job.stale = false;
                 if job.chunk_size != e.chunk {
-                    // Our own write; nothing was placed since it was sent.
-                    if job.placed == 0 {
-                        job.divide(e.chunk);
-                    } else {
-                        tracing::error!(job = &*job.id, "divided anew while tasks are placed");
-                    }
+                    self.follow_division(now, ix, e.chunk);
                 }
                 if let Some(spec) = mirror.effective_spec(ix) {
                     self.change_spec(ix, spec);
@@ -338,6 +333,19 @@
         self.dirty = true;
     }
 
+    /// Its tasks were divided anew, by a write of ours that nobody answered.
+    fn follow_division(&mut self, now: Ms, ix: JobIx, chunk: u32) {
+        // Guard: what was placed since can't have been written, on a record
+        // that had changed; so it was never launched, and is given up.
+        self.stop_job(now, ix, 0.0);
+        let Some(job) = self.job_mut(ix) else { return };
+        if job.placed == 0 {
+            job.divide(chunk);
+        } else {
+            tracing::error!(job = &*job.id, "divided anew while tasks are placed");
+        }
+    }
+
     /// What others ask of a job changed its priority or its deadline.
     fn change_spec(&mut self, ix: JobIx, spec: Rc<JobSpec>) {
         let Some(job) = self.jobs[ix.at()].as_mut() else { return };
--- a/src/node/upgrade.rs
+++ b/src/node/upgrade.rs
@@ -15,11 +15,13 @@
     transport::{CallError, Net, Reply},
 };
 
-/// Between two looks at the keys, while some are missing.
+/// Between two looks at the keys, while some are missing, and later: an
+/// operator who goes back removes one first.
 const LOOK_MS: Ms = 1_000;
+const LOOK_AGAIN_MS: Ms = 10_000;
 
 impl Node {
-    /// Writes this controller's key once, and reads the others' until all are there.
+    /// Writes this controller's key once, and reads all.
     pub(super) fn keep_versions(&mut self, net: &mut Net, now: Ms) {
         if !self.version_written {
             if self.version_write.due(now)
@@ -34,10 +36,7 @@
                 let txn = Txn { conditions: Vec::new(), writes: vec![write] };
                 self.ask_state(net, Pending::VersionWrite, "POST", "/multi".into(), cbor::encode(&txn), 2_500);
             }
-        } else if !self.versions.is_complete()
-            && self.version_read.due(now)
-            && self.reads.take(now, 1.0, Urgency::Submit).is_ok()
-        {
+        } else if self.version_read.due(now) && self.reads.take(now, 1.0, Urgency::Submit).is_ok() {
             self.version_read.in_flight = true;
             let path = format!("/store?under={VERSIONS}&most=1000");
             self.ask_state(net, Pending::VersionRead, "GET", path, Vec::new(), 2_500);
@@ -52,10 +51,14 @@
 
     pub(super) fn version_page(&mut self, now: Ms, result: &Result<Reply, CallError>) {
         self.version_read.in_flight = false;
+        let page = body::<Page>(result).filter(|p| !p.truncated);
         self.version_read.after = now + LOOK_MS;
-        let Some(page) = body::<Page>(result) else { return };
+        let Some(page) = page else { return };
         let was = self.versions.missing();
         self.versions.saw(&page);
+        if self.versions.is_complete() {
+            self.version_read.after = now + LOOK_AGAIN_MS;
+        }
         let missing = self.versions.missing();
         if missing != was {
             tracing::info!(missing, "controllers that have not shown this version yet");
--- a/src/node/users.rs
+++ b/src/node/users.rs
@@ -217,6 +217,8 @@
         match self.prereqs(&record) {
             Prereqs::Stand(c) => conditions.extend(c),
             Prereqs::Unknown | Prereqs::Service => {
+                // A pipeline's jobs come one after another, to any controller.
+                self.barrier.hurry(net.now());
                 return self.barrier.join(net.now(), Waiter::Dependent { conn, id, record, tries });
             }
         }
