--- a/src/coordination/leader/commits.rs
+++ b/src/coordination/leader/commits.rs
@@ -6,15 +6,17 @@
 /// budget to spare.
 const ENDS_MS: Ms = 8_000;
 const ENDS_SPARE_MS: Ms = 1_500;
-/// Between two jobs whose tasks are divided anew.
-const RECHUNK_GAP_MS: Ms = 200;
-/// How long what is too large to be written is set aside.
-const HELD_MS: Ms = 2_000;
+pub(super) const MAX_BYTES: usize = 48 * 1024;
 
 impl Leader {
     pub(super) fn chunk_value(&self, job: &Job, chunk: usize, tag: u64, tables: &Tables) -> Value {
-        let from = chunk * job.chunk_size as usize;
-        let to = (from + job.chunk_size as usize).min(job.slots.len());
+        let size = job.chunk_size as usize;
+        self.part_value(job, chunk * size, size, tag, tables)
+    }
+
+    /// The record of so many tasks from one on.
+    pub(super) fn part_value(&self, job: &Job, from: usize, size: usize, tag: u64, tables: &Tables) -> Value {
+        let to = (from + size).min(job.slots.len());
         let places = (from..to)
             .filter_map(|n| match job.slots[n] {
                 Slot::At(p) => self.place(p),
@@ -96,7 +98,7 @@
             return Some(f.txn.clone());
         }
         let max_ops = max_ops.min(self.cfg.txn_ops).min(self.ops_cap);
-        if let Some(txn) = self.rechunk(now, max_ops, spare) {
+        if let Some(txn) = self.rechunk(now, max_ops, spare, tables) {
             return Some(txn);
         }
         let mut oversize: Vec<(JobIx, usize)> = Vec::new();
@@ -112,7 +114,6 @@
         let mut txn = Txn::default();
         let (mut chunks, mut dones, mut drops) = (Vec::new(), Vec::new(), Vec::new());
         let mut size = 0;
-        const MAX_BYTES: usize = 48 * 1024;
         for (class, _, ix) in order {
             let left = max_ops.saturating_sub(txn.writes.len());
             if left == 0 || size > MAX_BYTES {
@@ -183,86 +184,6 @@
         Some(out)
     }
 
-    /// A chunk that can't be written as it is: what was placed but not written
-    /// is taken back, the rest waits for ends.
-    fn shrink(&mut self, now: Ms, ix: JobIx, c: usize) {
-        let Some(job) = self.job_mut(ix) else { return };
-        let (from, size) = (c * job.chunk_size as usize, job.chunk_size as usize);
-        job.chunks[c].held_until = now + HELD_MS;
-        job.not_before = job.not_before.max(now + HELD_MS);
-        let committed = job.chunks[c].committed;
-        let part = from..(from + size).min(job.slots.len());
-        let at = job.slots[part].iter().filter_map(|s| if let Slot::At(p) = s { Some(*p) } else { None });
-        let at: Vec<PlaceIx> = at.collect();
-        for p in at {
-            let is_unwritten =
-                |p: &Place| p.ver > committed && p.state == PlaceState::Wanted && p.sent.is_none() && !p.inherited;
-            if self.place(p).is_some_and(is_unwritten) {
-                self.free_place(p, false);
-            }
-        }
-    }
-
-    /// An unfinished job whose tasks were divided under a larger limit, none of
-    /// them placed or done: its division can be changed in one transaction.
-    fn to_rechunk(&self, now: Ms, spare: bool) -> Option<&Job> {
-        let is_ready = |j: &&Job| {
-            j.outsized.is_some()
-                && j.status == Status::Pending
-                && !j.stale
-                && j.placed == 0
-                && j.done == 0
-                && j.chunks.iter().filter(|c| c.stamp != 0).count() < self.cfg.txn_ops.min(self.ops_cap)
-        };
-        // Guard: a controller of the version before would go on with the old division.
-        if !self.may_rechunk {
-            return None;
-        }
-        // Until it must be, it takes nothing from what somebody waits for.
-        let must = self.value_limit <= self.cfg.value_fit;
-        if !(must || spare) || now < self.rechunk_after {
-            return None;
-        }
-        self.active.iter().filter_map(|&ix| self.job(ix)).find(is_ready)
-    }
-
-    fn rechunk(&mut self, now: Ms, max_ops: usize, spare: bool) -> Option<Txn> {
-        let job = self.to_rechunk(now, spare)?;
-        let record = JobRecord { chunk: self.cfg.chunk_fit, ..(**job.outsized.as_ref()?).clone() };
-        let key = records::job_key(&job.id);
-        let mut txn = Txn::default();
-        txn.conditions.push(Condition { key: key.clone(), stamp: job.stamp });
-        txn.writes.push(Op::Put { key, v: records::to_value(&record), permit: None });
-        for (n, c) in job.chunks.iter().enumerate().filter(|(_, c)| c.stamp != 0) {
-            let key = records::chunk_key(&job.id, n as u32);
-            txn.conditions.push(Condition { key: key.clone(), stamp: c.stamp });
-            txn.writes.push(Op::Delete { key });
-        }
-        if txn.writes.len() > max_ops {
-            return None;
-        }
-        // Guard: as for every transaction of a leader.
-        txn.conditions.push(Condition { key: records::LEADER.to_owned(), stamp: self.stamp });
-        let ix = job.ix;
-        self.tag += 1;
-        self.rechunk_after = now + RECHUNK_GAP_MS;
-        let out = txn.clone();
-        if let Some(job) = self.job_mut(ix) {
-            job.rechunking = true;
-        }
-        self.flying = Some(Flying {
-            txn,
-            chunks: Vec::new(),
-            dones: Vec::new(),
-            drops: Vec::new(),
-            rechunk: Some(ix),
-            tag: self.tag,
-            sent: true,
-            resync: Vec::new(),
-        });
-        Some(out)
-    }
-
     /// How the transaction under way ended. False: the leadership is lost.
     pub fn committed(&mut self, now: Ms, outcome: CommitOutcome) -> bool {
         let Some(mut f) = self.flying.take() else { return true };
@@ -328,41 +249,13 @@
         true
     }
 
-    /// The first 400 shows that the lower limits hold; what fits them and is
-    /// refused all the same is cut smaller, and in the end set aside.
-    fn too_large(&mut self, now: Ms, mut f: Flying) {
-        if self.value_limit > self.cfg.value_fit {
-            tracing::warn!(bytes = self.cfg.value_fit, "values are kept smaller from now on");
-            self.value_limit = self.cfg.value_fit;
-            self.commit_after = now + 150;
-        } else {
-            self.commit_after = now + 1_000;
-            self.ops_cap = (f.txn.writes.len() / 2).max(1);
-            if f.txn.writes.len() == 1 {
-                for &(ix, c, _) in &f.chunks {
-                    self.shrink(now, ix, c);
-                }
-                for &ix in &f.dones {
-                    tracing::error!(job = ix.0, "the end of a job can't be written");
-                }
+    pub(super) fn give_back(&mut self, f: Flying) {
+        if let Some(r) = &f.rechunk {
+            if let Some(job) = self.job_mut(r.job) {
+                job.rechunking = false;
             }
-        }
-        // Guard: an earlier copy went unanswered; who wrote last is read first.
-        if f.tag & UNSURE != 0 {
-            let keys = f.chunks.iter().filter_map(|&(ix, c, _)| Some(records::chunk_key(&self.job(ix)?.id, c as u32)));
-            f.resync = keys.collect();
-            if !f.resync.is_empty() {
-                f.sent = false;
-                self.flying = Some(f);
-                return;
-            }
-        }
-        self.give_back(f);
-    }
-
-    fn give_back(&mut self, f: Flying) {
-        if let Some(job) = f.rechunk.and_then(|ix| self.job_mut(ix)) {
-            job.rechunking = false;
+            self.follow_division(r.job);
+            self.retire_over(r.job);
         }
         for key in f.drops {
             let stamp = f.txn.conditions.iter().find(|c| c.key == key).map_or(0, |c| c.stamp);
@@ -408,10 +301,8 @@
             }
         }
         self.wake.extend(told.into_iter().map(|m| (now, m)));
-        let chunk_fit = self.cfg.chunk_fit;
-        if let Some(job) = f.rechunk.and_then(|ix| self.job_mut(ix)).filter(|j| j.rechunking) {
-            job.stamp = epoch;
-            job.divide(chunk_fit);
+        if let Some(r) = &f.rechunk {
+            self.divided(now, r, epoch);
         }
         for &ix in &f.dones {
             if let Some(job) = self.job_mut(ix) {
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -6,6 +6,7 @@
 //! something proves that the task is gone; a command that may still be under
 //! way is fenced by a raised token; reaping follows the written end.
 
+mod chunks;
 mod commands;
 mod commits;
 mod leases;
@@ -21,6 +22,7 @@
 
 use ciborium::Value;
 
+use self::chunks::Rechunk;
 use super::{fleet::Fleet, model::*, picture::Picture};
 use crate::{
     bookkeeping::{
@@ -130,7 +132,7 @@
     dones: Vec<JobIx>,
     drops: Vec<String>,
     /// A job whose tasks it divides anew.
-    rechunk: Option<JobIx>,
+    rechunk: Option<Rechunk>,
     tag: u64,
     sent: bool,
     /// Keys to read before anything else, to learn whether it was applied.
@@ -310,9 +312,8 @@
             (Some(job), Status::Pending) => {
                 job.stamp = e.stamp;
                 job.stale = false;
-                if job.chunk_size != e.chunk {
-                    self.follow_division(now, ix, e.chunk);
-                }
+                job.recorded_chunk = e.chunk;
+                self.follow_division(ix);
                 if let Some(spec) = mirror.effective_spec(ix) {
                     self.change_spec(ix, spec);
                 }
@@ -333,19 +334,6 @@
         self.dirty = true;
     }
 
-    /// Its tasks were divided anew, by a write of ours that nobody answered.
-    fn follow_division(&mut self, now: Ms, ix: JobIx, chunk: u32) {
-        // Guard: what was placed since can't have been written, on a record
-        // that had changed; so it was never launched, and is given up.
-        self.stop_job(now, ix, 0.0);
-        let Some(job) = self.job_mut(ix) else { return };
-        if job.placed == 0 {
-            job.divide(chunk);
-        } else {
-            tracing::error!(job = &*job.id, "divided anew while tasks are placed");
-        }
-    }
-
     /// What others ask of a job changed its priority or its deadline.
     fn change_spec(&mut self, ix: JobIx, spec: Rc<JobSpec>) {
         let Some(job) = self.jobs[ix.at()].as_mut() else { return };
@@ -389,6 +377,7 @@
             stale: false,
             outsized: e.record.clone().filter(|_| is_outsized),
             rechunking: false,
+            recorded_chunk: e.chunk,
             unwritten_since: None,
             started: false,
             begun: false,
@@ -509,6 +498,8 @@
 
 impl Job {
     fn is_flying_in(&self, f: &Option<Flying>) -> bool {
-        f.as_ref().is_some_and(|f| f.chunks.iter().any(|c| c.0 == self.ix))
+        f.as_ref().is_some_and(|f| {
+            f.chunks.iter().any(|c| c.0 == self.ix) || f.rechunk.as_ref().is_some_and(|r| r.job == self.ix)
+        })
     }
 }
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -158,8 +158,10 @@
     pub stale: bool,
     /// Its record, while that divides its tasks into larger chunks than fit.
     pub outsized: Option<Rc<JobRecord>>,
-    /// Its tasks are being divided anew: nothing of it may be placed.
+    /// Its tasks are being divided anew: nothing more of it may be placed.
     pub rechunking: bool,
+    /// The size of its chunks as its record says.
+    pub recorded_chunk: u32,
     /// Since when ends wait to be written.
     pub unwritten_since: Option<Ms>,
     /// A task ended done, or ran long enough to count as a start.
@@ -192,18 +194,6 @@
         (task / self.chunk_size) as usize
     }
 
-    /// Divides the tasks anew. Nothing may be placed.
-    pub fn divide(&mut self, size: u32) {
-        self.chunk_size = size.max(1);
-        self.chunks = vec![Chunk::default(); self.spec.tasks.div_ceil(self.chunk_size) as usize];
-        for task in 0..self.spec.tasks {
-            if self.slots[task as usize] == Slot::Done {
-                self.touch(task);
-            }
-        }
-        (self.outsized, self.rechunking) = (None, false);
-    }
-
     pub fn touch(&mut self, task: u32) -> u64 {
         let c = self.chunk_of(task);
         self.chunks[c].ver += 1;
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -151,6 +151,74 @@
     w.run(90_000);
 }
 
+/// What runs goes on under the new division; a replica that is lost is replaced.
+fn a_service_is_divided_while_it_runs(w: &mut World) {
+    w.may_rechunk = true;
+    w.slots = 6;
+    for _ in 0..16 {
+        w.add_worker("b");
+    }
+    w.submit(small("j-1", "service", 50), 0);
+    w.until("runs", 30_000, |w| w.where_is("j-1/49").is_some());
+    w.value_now = KB;
+    let starts = w.starts;
+    w.run(10_000);
+    assert_eq!((w.starts, chunk_of(w, "j-1")), (starts, w.chunk_fit));
+    let n = w.where_is("j-1/7").unwrap();
+    w.workers[n].dead = true;
+    w.until("replaced", 60_000, |w| w.where_is("j-1/7").is_some_and(|m| m != n));
+    w.elect();
+    w.run(10_000);
+    assert!(w.where_is("j-1/49").is_some());
+}
+
+/// Arrays of all sizes, some of their tasks done, in bad weather, leaders
+/// changing: nothing is lost, and nothing runs twice.
+fn divided_in_bad_weather(w: &mut World) {
+    w.may_rechunk = true;
+    w.vary = 400;
+    for n in 0..10 {
+        w.add_worker(if n % 2 == 0 { "a" } else { "b" });
+    }
+    let names: Vec<String> = (0..24).map(|n| format!("j-{n}")).collect();
+    w.weather = Weather {
+        late_do: 5,
+        lost_do: 5,
+        repeat_do: 10,
+        slow_do: 20,
+        lost_txn: 25,
+        lost_answer: 10,
+        late_report: 10,
+        ..Weather::default()
+    };
+    for (n, id) in names.iter().enumerate() {
+        let (kind, tasks) = (["batch", "ensemble", "batch"][w.any(3)], 4 + w.any(60) as u32);
+        let run = 1_000 + 500 * w.any(6) as u64;
+        w.submit(small(id, kind, tasks), run);
+        let pause = 100 * w.any(30) as u64;
+        w.run(pause);
+        match w.any(8) {
+            0 => w.elect(),
+            1 => w.die_after_txn = true,
+            2 => {
+                w.cancel(id);
+            }
+            _ => {}
+        }
+        if n == 8 {
+            w.value_now = KB;
+        }
+        if w.leader.is_none() {
+            w.elect();
+        }
+    }
+    w.weather = Weather::default();
+    w.die_after_txn = false;
+    w.elect();
+    w.until("all over", 600_000, |w| names.iter().all(|id| w.status(id) != Status::Pending));
+    w.run(60_000);
+}
+
 /// Guard: fewer writes in a transaction than the settings say: it is cut
 /// smaller, not repeated as it was.
 fn fewer_writes_than_announced(w: &mut World) {
@@ -174,6 +242,16 @@
     w.run(45_000);
 }
 
+#[test]
+fn divided_whatever_comes() {
+    for seed in 0..8 {
+        let mut w = world(seed);
+        divided_in_bad_weather(&mut w);
+        w.check(&format!("seed {seed}"));
+        eprintln!("seed {seed}: {} refused", w.too_large);
+    }
+}
+
 #[test]
 fn lowered_limits_table() {
     type Case = (&'static str, fn(&mut World));
@@ -186,6 +264,7 @@
         ("leader dies after", the_leader_dies_after_it_divided),
         ("answers are lost", answers_are_lost_while_it_is_divided),
         ("cancelled", cancelled_while_it_is_divided),
+        ("a service runs", a_service_is_divided_while_it_runs),
         ("fewer writes", fewer_writes_than_announced),
         ("an unanswered one is refused", an_unanswered_one_is_refused),
     ];
