--- a/src/coordination/leader/commits.rs
+++ b/src/coordination/leader/commits.rs
@@ -6,11 +6,17 @@
 /// budget to spare.
 const ENDS_MS: Ms = 8_000;
 const ENDS_SPARE_MS: Ms = 1_500;
+pub(super) const MAX_BYTES: usize = 48 * 1024;
 
 impl Leader {
     pub(super) fn chunk_value(&self, job: &Job, chunk: usize, tag: u64, tables: &Tables) -> Value {
-        let from = chunk * job.chunk_size as usize;
-        let to = (from + job.chunk_size as usize).min(job.slots.len());
+        let size = job.chunk_size as usize;
+        self.part_value(job, chunk * size, size, tag, tables)
+    }
+
+    /// The record of so many tasks from one on.
+    pub(super) fn part_value(&self, job: &Job, from: usize, size: usize, tag: u64, tables: &Tables) -> Value {
+        let to = (from + size).min(job.slots.len());
         let places = (from..to)
             .filter_map(|n| match job.slots[n] {
                 Slot::At(p) => self.place(p),
@@ -43,7 +49,7 @@
     /// sooner. Ends wait for one another: nothing but the reaping of what has
     /// ended depends on them, and a later leader learns them from the workers.
     fn write_class(job: &Job, now: Ms, spare: bool) -> Option<u8> {
-        if job.stale {
+        if job.stale || job.rechunking {
             return None;
         }
         if job.status != Status::Pending {
@@ -74,6 +80,7 @@
             }
         }
         self.flying.is_some()
+            || self.to_rechunk(now, spare).is_some()
             || (spare && !self.drops.is_empty())
             || self.active.iter().any(|&j| self.job(j).is_some_and(|j| Leader::write_class(j, now, spare).is_some()))
     }
@@ -90,7 +97,11 @@
             f.sent = true;
             return Some(f.txn.clone());
         }
-        let max_ops = max_ops.min(self.cfg.txn_ops);
+        let max_ops = max_ops.min(self.cfg.txn_ops).min(self.ops_cap);
+        if let Some(txn) = self.rechunk(now, max_ops, spare, tables) {
+            return Some(txn);
+        }
+        let mut oversize: Vec<(JobIx, usize)> = Vec::new();
         let mut order: Vec<(u8, i64, JobIx)> = self
             .active
             .iter()
@@ -103,7 +114,6 @@
         let mut txn = Txn::default();
         let (mut chunks, mut dones, mut drops) = (Vec::new(), Vec::new(), Vec::new());
         let mut size = 0;
-        const MAX_BYTES: usize = 48 * 1024;
         for (class, _, ix) in order {
             let left = max_ops.saturating_sub(txn.writes.len());
             if left == 0 || size > MAX_BYTES {
@@ -113,14 +123,16 @@
             let conditions_before = txn.conditions.len();
             if job.all_done() && job.status == Status::Pending {
                 let submission = Submission { tasks: Some(f64::from(job.spec.tasks)), ..Submission::default() };
-                let at_ms = 0;
+                // Whoever leads next counts the waiting of those after it from here.
+                let at_ms = (now as i64 + self.day_ms).max(0) as u64;
                 let rec = JobRecord { submission, status: Status::Done, at_ms, chunk: job.chunk_size };
                 let v = records::to_value(&rec);
                 size += records::json_size(&v) + 64;
                 txn.writes.push(Op::Put { key: records::job_key(&job.id), v, permit: None });
                 dones.push(ix);
             } else {
-                let due = |c: &Chunk| c.urgent > c.committed || (class == 5 && c.ver != c.committed);
+                let due =
+                    |c: &Chunk| now >= c.held_until && (c.urgent > c.committed || (class == 5 && c.ver != c.committed));
                 let dirty: Vec<usize> = (0..job.chunks.len()).filter(|&c| due(&job.chunks[c])).collect();
                 // Split between trees, unless one alone is more than a transaction takes.
                 if dirty.len() > left && left < max_ops {
@@ -132,7 +144,13 @@
                     }
                     let v = self.chunk_value(job, c, tag, tables);
                     let key = records::chunk_key(&job.id, c as u32);
-                    size += records::json_size(&v) + 64;
+                    let bytes = records::json_size(&v);
+                    // Guard: what is too large is never sent again as it is.
+                    if bytes > self.value_limit {
+                        oversize.push((ix, c));
+                        continue;
+                    }
+                    size += bytes + 64;
                     txn.conditions.push(Condition { key: key.clone(), stamp: job.chunks[c].stamp });
                     txn.writes.push(Op::Put { key, v, permit: None });
                     chunks.push((ix, c, job.chunks[c].ver));
@@ -142,6 +160,9 @@
                 txn.conditions.push(Condition { key: records::job_key(&job.id), stamp: job.stamp });
             }
         }
+        for (ix, c) in oversize {
+            self.shrink(now, ix, c);
+        }
         // Records of jobs that are over go slowly: a large job's must not take
         // the budget from anything that somebody waits for.
         let droppable =
@@ -159,7 +180,7 @@
         // Guard: whoever leads by then, only this leadership's writes count.
         txn.conditions.push(Condition { key: records::LEADER.to_owned(), stamp: self.stamp });
         let out = txn.clone();
-        self.flying = Some(Flying { txn, chunks, dones, drops, tag, sent: true, resync: Vec::new() });
+        self.flying = Some(Flying { txn, chunks, dones, drops, rechunk: None, tag, sent: true, resync: Vec::new() });
         Some(out)
     }
 
@@ -181,6 +202,7 @@
                     self.give_back(f);
                 }
             }
+            CommitOutcome::TooLarge => self.too_large(now, f),
             CommitOutcome::Unknown => {
                 // Guard: it may yet be applied. The same transaction again, on
                 // the same conditions, can be applied only once in all.
@@ -201,8 +223,10 @@
                             .copied()
                             .filter(|&j| self.job(j).is_some_and(|j| &*j.id == id))
                             .collect();
+                        let sent = f.txn.conditions.iter().find(|c| c.key == *key).map_or(0, |c| c.stamp);
                         for ix in stale {
-                            if let Some(j) = self.job_mut(ix) {
+                            // Unless the mirror has shown the change already.
+                            if let Some(j) = self.job_mut(ix).filter(|j| j.stamp == sent) {
                                 j.stale = true;
                             }
                         }
@@ -225,7 +249,14 @@
         true
     }
 
-    fn give_back(&mut self, f: Flying) {
+    pub(super) fn give_back(&mut self, f: Flying) {
+        if let Some(r) = &f.rechunk {
+            if let Some(job) = self.job_mut(r.job) {
+                job.rechunking = false;
+            }
+            self.follow_division(r.job);
+            self.retire_over(r.job);
+        }
         for key in f.drops {
             let stamp = f.txn.conditions.iter().find(|c| c.key == key).map_or(0, |c| c.stamp);
             self.drops.push_back((key, stamp));
@@ -270,6 +301,9 @@
             }
         }
         self.wake.extend(told.into_iter().map(|m| (now, m)));
+        if let Some(r) = &f.rechunk {
+            self.divided(now, r, epoch);
+        }
         for &ix in &f.dones {
             if let Some(job) = self.job_mut(ix) {
                 job.stamp = epoch;
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -6,6 +6,7 @@
 //! something proves that the task is gone; a command that may still be under
 //! way is fenced by a raised token; reaping follows the written end.
 
+mod chunks;
 mod commands;
 mod commits;
 mod leases;
@@ -23,6 +24,7 @@
 
 use ciborium::Value;
 
+use self::chunks::Rechunk;
 use super::{fleet::Fleet, model::*, picture::Picture};
 use crate::{
     bookkeeping::{
@@ -45,6 +47,11 @@
     pub report_ms: Ms,
     pub gang_peer_s: f64,
     pub txn_ops: usize,
+    /// Bytes of a value: the limit as it is, what fits later as well, and tasks
+    /// per chunk that do.
+    pub value_max: usize,
+    pub value_fit: usize,
+    pub chunk_fit: u32,
     pub list_lag_ms: Ms,
     pub teams: Vec<TeamLimits>,
     /// What users want of a class: starts or ends within some seconds.
@@ -113,6 +120,8 @@
     Conflict(Vec<String>),
     /// Certainly not executed.
     Refused,
+    /// Not executed, and as it is it never will be.
+    TooLarge,
     /// May have been executed, or may yet be.
     Unknown,
 }
@@ -124,6 +133,8 @@
     chunks: Vec<(JobIx, usize, u64)>,
     dones: Vec<JobIx>,
     drops: Vec<String>,
+    /// A job whose tasks it divides anew.
+    rechunk: Option<Rechunk>,
     tag: u64,
     sent: bool,
     /// Keys to read before anything else, to learn whether it was applied.
@@ -147,6 +158,15 @@
     pub stamp: u64,
     /// The latest moment heard of.
     pub clock: Ms,
+    /// Largest value that the state service is known to take, and most writes
+    /// of a transaction.
+    pub value_limit: usize,
+    ops_cap: usize,
+    /// All controllers follow a job whose tasks are divided anew.
+    pub may_rechunk: bool,
+    rechunk_after: Ms,
+    /// The time of day is so far ahead of the steady clock.
+    day_ms: i64,
     pub started: Ms,
     pub loaded: bool,
     pub jobs: Vec<Option<Job>>,
@@ -205,12 +225,17 @@
             quiet: (i64::MIN / 2, i64::MAX / 2),
             next_summary: now + 10_000,
             written_since: Written::default(),
-            cfg,
             stamp,
             clock: now,
+            value_limit: cfg.value_max,
+            ops_cap: usize::MAX,
+            may_rechunk: false,
+            rechunk_after: 0,
+            day_ms: 0,
             started: now,
             loaded: false,
             jobs: Vec::new(),
+            cfg,
             active: Vec::new(),
             machines: Vec::new(),
             machine_ix: HashMap::new(),
@@ -274,17 +299,26 @@
     /// The mirror shows a job's record, new or changed.
     pub fn job_update(&mut self, now: Ms, wall_ms: u64, ix: JobIx, mirror: &Mirror) {
         let e = mirror.get(ix);
+        self.day_ms = wall_ms as i64 - now as i64;
         if self.jobs.len() <= ix.at() {
             self.jobs.resize_with(ix.at() + 1, || None);
         }
         match (&mut self.jobs[ix.at()], e.status) {
+            // Guard: until the ends of all that it needs are written, a job is
+            // in no trial, and holds no part of any limit or guarantee.
+            (None, Status::Pending) if mirror.waits(ix) => return,
             (None, Status::Pending) => {
-                let Some(spec) = e.spec.clone() else { return };
+                let Some(spec) = mirror.effective_spec(ix) else { return };
                 self.add_job(now, wall_ms, ix, spec, mirror);
             }
             (Some(job), Status::Pending) => {
                 job.stamp = e.stamp;
                 job.stale = false;
+                job.recorded_chunk = e.chunk;
+                self.follow_division(ix);
+                if let Some(spec) = mirror.effective_spec(ix) {
+                    self.change_spec(ix, spec);
+                }
             }
             (Some(job), Status::Cancelled) => {
                 job.stamp = e.stamp;
@@ -302,10 +336,31 @@
         self.dirty = true;
     }
 
+    /// What others ask of a job changed its priority or its deadline.
+    fn change_spec(&mut self, ix: JobIx, spec: Rc<JobSpec>) {
+        let Some(job) = self.jobs[ix.at()].as_mut() else { return };
+        if *job.spec == *spec {
+            return;
+        }
+        let old = std::mem::replace(&mut job.spec, spec.clone());
+        let slots = job.slots.iter();
+        let at: Vec<PlaceIx> = slots.filter_map(|s| if let Slot::At(p) = s { Some(*p) } else { None }).collect();
+        for p in at {
+            let Some(p) = self.places.get(p.at()).and_then(Option::as_ref) else { continue };
+            // The picture counts by priority what may be stopped.
+            self.picture.give(p.machine.at(), &old, p.halt.is_some());
+            self.picture.take(p.machine.at(), &spec);
+            if p.halt.is_some() {
+                self.picture.stop(p.machine.at(), &spec);
+            }
+        }
+    }
+
     pub(super) fn add_job(&mut self, now: Ms, wall_ms: u64, ix: JobIx, spec: Rc<JobSpec>, mirror: &Mirror) {
         let e = mirror.get(ix);
         let n = spec.tasks;
-        let age = wall_ms.saturating_sub(e.at_ms).min(1 << 40) as i64;
+        let is_outsized = e.chunk > self.cfg.chunk_fit && n > self.cfg.chunk_fit;
+        let age = wall_ms.saturating_sub(mirror.ready_ms(ix)).min(1 << 40) as i64;
         self.jobs[ix.at()] = Some(Job {
             ix,
             id: e.id.clone(),
@@ -322,6 +377,9 @@
             running: 0,
             not_before: 0,
             stale: false,
+            outsized: e.record.clone().filter(|_| is_outsized),
+            rechunking: false,
+            recorded_chunk: e.chunk,
             unwritten_since: None,
             started: false,
             begun: false,
@@ -442,6 +500,8 @@
 
 impl Job {
     fn is_flying_in(&self, f: &Option<Flying>) -> bool {
-        f.as_ref().is_some_and(|f| f.chunks.iter().any(|c| c.0 == self.ix))
+        f.as_ref().is_some_and(|f| {
+            f.chunks.iter().any(|c| c.0 == self.ix) || f.rechunk.as_ref().is_some_and(|r| r.job == self.ix)
+        })
     }
 }
--- a/src/coordination/model.rs
+++ b/src/coordination/model.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, ops, rc::Rc};
 
 use crate::{
-    bookkeeping::{mirror::JobIx, records::Status},
+    bookkeeping::{
+        mirror::JobIx,
+        records::{JobRecord, Status},
+    },
     protocol::{
         jobs::JobSpec,
         names::{TypeIx, ZoneIx},
@@ -128,6 +131,8 @@
     /// The version that last gained a place: its launch waits for the write.
     pub urgent: u64,
     pub stamp: u64,
+    /// Its value is larger than may be written; not to be tried before.
+    pub held_until: Ms,
 }
 
 #[derive(Debug)]
@@ -151,6 +156,12 @@
     pub not_before: Ms,
     /// A transaction found the record changed; wait until the mirror shows it.
     pub stale: bool,
+    /// Its record, while that divides its tasks into larger chunks than fit.
+    pub outsized: Option<Rc<JobRecord>>,
+    /// Its tasks are being divided anew: nothing more of it may be placed.
+    pub rechunking: bool,
+    /// The size of its chunks as its record says.
+    pub recorded_chunk: u32,
     /// Since when ends wait to be written.
     pub unwritten_since: Option<Ms>,
     /// A task ended done, or ran long enough to count as a start.
@@ -467,6 +478,7 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: None,
+            overdue_s: None,
         }
     }
 
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -17,6 +17,7 @@
         budget::{Budget, Urgency},
         mirror::Mirror,
         records::{self, JobRecord, LeaderRecord},
+        versions::Evidence,
     },
     coordination::{
         election::{Act, Election},
@@ -52,8 +53,16 @@
     Refuse {
         conn: ConnId,
         id: String,
+        status: u16,
         why: &'static str,
     },
+    /// A submission that names others, some unknown here or changed lately.
+    Dependent {
+        conn: ConnId,
+        id: String,
+        record: Rc<JobRecord>,
+        tries: u32,
+    },
     Abort {
         conn: ConnId,
         id: String,
@@ -67,6 +76,7 @@
             Waiter::Poll { conn, .. }
             | Waiter::Known { conn, .. }
             | Waiter::Refuse { conn, .. }
+            | Waiter::Dependent { conn, .. }
             | Waiter::Abort { conn, .. } => *conn,
         }
     }
@@ -87,7 +97,9 @@
     KeeperGrant,
     KeeperRenew,
     KeeperRegister,
-    Submit { conn: ConnId, id: String, record: Rc<JobRecord> },
+    VersionWrite,
+    VersionRead,
+    Submit { conn: ConnId, id: String, record: Rc<JobRecord>, tries: u32 },
     Abort { conn: ConnId, id: String, record: Rc<JobRecord>, tries: u32 },
     TasksSync { stamp: u64, sent: Ms },
     TasksPage { stamp: u64 },
@@ -187,6 +199,13 @@
     pub next_told: Ms,
     /// Cancellations confirmed here lately, to be told to peers.
     pub notices: VecDeque<(Ms, peers::Cancelled)>,
+    /// Who is known to run this version, and the key that says that this one does.
+    pub versions: Evidence,
+    pub version_written: bool,
+    /// The state service has shown that `state.next` holds.
+    pub limits_lowered: bool,
+    pub version_write: Loop,
+    pub version_read: Loop,
 }
 
 /// The day's time, in ms.
@@ -268,12 +287,35 @@
             told: Told::default(),
             next_told: 0,
             notices: VecDeque::new(),
+            versions: Evidence::new(settings.seeds.iter().map(|s| &*s.label).chain(std::iter::once(&*settings.label))),
+            version_written: false,
+            limits_lowered: false,
+            version_write: Loop::default(),
+            version_read: Loop::default(),
             settings,
             operator,
         }
     }
 
+    /// Tasks per chunk of a job that is recorded now.
+    pub fn chunk_size(&self) -> u32 {
+        let c = &self.settings.cluster;
+        let zone_len = c.zones.iter().map(String::len).max().unwrap_or(16);
+        records::chunk_size(c.state.fitting_value_kb(), zone_len)
+    }
+
+    /// The limits that were announced hold now, as an answer shows.
+    fn lower_limits(&mut self) {
+        let st = &self.settings.cluster.state;
+        if st.next.is_some() && !self.limits_lowered {
+            tracing::warn!(rates = ?st.rates(true), "the state service's limits are lowered");
+            self.limits_lowered = true;
+            self.budget_leading = None;
+        }
+    }
+
     pub fn leader_config(&mut self) -> Config {
+        let chunk_fit = self.chunk_size();
         let c = &self.settings.cluster;
         let set = |x: f64| (x > 0.0).then_some(x);
         let report_ms = (c.workers.report_s * 1000.0) as Ms;
@@ -295,7 +337,10 @@
             lease_ms: (c.workers.lease_s * 1000.0) as Ms,
             report_ms,
             gang_peer_s: c.workers.gang_peer_s,
-            txn_ops: c.state.txn_ops,
+            txn_ops: c.state.fitting_txn_ops(),
+            value_max: (c.state.value_kb * 1024.0) as usize,
+            value_fit: (c.state.fitting_value_kb() * 1024.0) as usize,
+            chunk_fit,
             list_lag_ms: (c.cloud.list_lag_s * 1000.0) as Ms,
             teams: c
                 .teams
@@ -473,6 +518,8 @@
             Ok(r) => {
                 if r.status == 429 {
                     self.reads.refused(now);
+                    // Budgets keep below the limits as they are.
+                    self.lower_limits();
                 }
                 self.state_ok = now;
                 self.state_bad_since = None;
