--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -280,6 +280,7 @@
                 503 => CommitOutcome::Refused,
                 400 => {
                     tracing::warn!("the state service takes no transaction like this one (400)");
+                    self.lower_limits();
                     CommitOutcome::TooLarge
                 }
                 other => {
--- a/src/node/wiring.rs
+++ b/src/node/wiring.rs
@@ -298,7 +298,7 @@
     }
 
     /// The limits that were announced hold now, as an answer shows.
-    fn lower_limits(&mut self) {
+    pub(super) fn lower_limits(&mut self) {
         let st = &self.settings.cluster.state;
         if st.next.is_some() && !self.limits_lowered {
             tracing::warn!(rates = ?st.rates(true), "the state service's limits are lowered");
@@ -622,6 +622,31 @@
 
     const SEED: &str = "[[seeds]]\nlabel = \"n-1\"\nendpoint = \"127.0.0.1:3\"\n[outside]";
 
+    /// The rates follow the first refusal, and stay; sizes fit from the start.
+    #[test]
+    fn limits_are_lowered_once_they_show() {
+        let event_loop = EventLoop::try_new().unwrap();
+        let limits = Limits { sockets: 100, idle_ms: 1_000, head_ms: 1_000, stale_ms: 1_000 };
+        const NEXT: &str = "[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 20.0\n[cluster.cloud]";
+        // (next limits, answer, bursts of the leader's writes before and after)
+        let cases =
+            [(true, 429, 15.0, 10.0), (true, 503, 15.0, 15.0), (true, 200, 15.0, 15.0), (false, 429, 15.0, 15.0)];
+        for (has_next, status, before, after) in cases {
+            let mut net = Net::new(&event_loop, Limits { ..limits });
+            let text = if has_next { SAMPLE.replacen("[cluster.cloud]", NEXT, 1) } else { SAMPLE.to_owned() };
+            let mut n = Node::new(Settings::parse(&text, "x.toml").unwrap(), Operator::default(), &mut net);
+            let sizes = (n.leader_config().txn_ops, n.leader_config().value_fit);
+            assert_eq!(sizes, if has_next { (4, 2_048) } else { (24, 16_384) });
+            n.set_budgets(1_000, true);
+            assert_eq!(n.commits.burst(), before);
+            for _ in 0..2 {
+                n.state_answered(1_000, &Ok(Reply { status, body: Vec::new(), close: false }));
+                n.set_budgets(1_000, true);
+                assert_eq!(n.commits.burst(), after, "{has_next} {status}");
+            }
+        }
+    }
+
     /// Guard: a controller that had lost state service and peers sent its
     /// workers to a leader that was long gone.
     #[test]
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -172,6 +172,28 @@
     assert!(w.where_is("j-1/49").is_some());
 }
 
+/// Guard: the answer to the division is lost. What ends until it is known
+/// counts as unwritten, and nothing more is placed.
+fn a_division_without_an_answer(w: &mut World) {
+    w.slots = 6;
+    w.vary = 300;
+    for (n, id) in ["j-1", "j-2", "j-3", "j-4", "j-5", "j-6"].into_iter().enumerate() {
+        w.may_rechunk = false;
+        w.submit(small(id, "batch", 50), 3_000 + 500 * n as u64);
+        w.run(4_500);
+        w.weather = Weather { lost_txn: 100, ..Weather::default() };
+        w.may_rechunk = true;
+        for _ in 0..6 {
+            w.add_worker("a");
+            w.run(500);
+        }
+        w.weather = Weather::default();
+        w.until("divided", 60_000, |w| chunk_of(w, id) == w.chunk_fit || w.status(id) == Status::Done);
+        w.until("done", 120_000, |w| w.status(id) == Status::Done);
+    }
+    w.run(45_000);
+}
+
 /// Arrays of all sizes, some of their tasks done, in bad weather, leaders
 /// changing: nothing is lost, and nothing runs twice.
 fn divided_in_bad_weather(w: &mut World) {
@@ -264,6 +286,7 @@
         ("leader dies after", the_leader_dies_after_it_divided),
         ("answers are lost", answers_are_lost_while_it_is_divided),
         ("cancelled", cancelled_while_it_is_divided),
+        ("no answer", a_division_without_an_answer),
         ("a service runs", a_service_is_divided_while_it_runs),
         ("fewer writes", fewer_writes_than_announced),
         ("an unanswered one is refused", an_unanswered_one_is_refused),
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -342,6 +342,74 @@
     }
 }
 
+/// Five controllers of both versions take turns at leading and are replaced one
+/// by one, in bad weather; jobs with prerequisites come only when all are new,
+/// and name jobs that were recorded, or ended, by either. The old ones are played
+/// by this version's mind with the old form of records: what an old process does
+/// besides, this can't show.
+#[test]
+fn replaced_one_by_one() {
+    for seed in 0..8 {
+        let mut w = World::new(seed, 6);
+        (w.slots, w.chunk, w.chunk_fit) = (20, 64, 12);
+        (w.value_now, w.value_max, w.value_fit) = (16 << 10, 16 << 10, 1 << 10);
+        w.weather = Weather { late_do: 5, slow_do: 20, lost_txn: 15, lost_answer: 10, ..Weather::default() };
+        let mut is_new = [false; 5];
+        let mut names: Vec<String> = Vec::new();
+        for round in 0..40 {
+            // A process that dies before its turn comes back old.
+            if round >= 8 && w.any(2) == 0 {
+                if let Some(n) = is_new.iter().position(|n| !n) {
+                    is_new[n] = true;
+                }
+            }
+            let all_new = is_new.iter().all(|n| *n);
+            if w.leader.is_none() || w.any(3) == 0 {
+                w.writes_old_form = !is_new[w.any(5)];
+                w.may_rechunk = all_new;
+                w.elect();
+            }
+            let id = format!("j-{}", (round * 27 + 5) % 40);
+            let mut p: Vec<String> = Vec::new();
+            while all_new && p.len() < 2 {
+                let at = w.any(names.len());
+                p.push(names[at].clone());
+            }
+            let p: Vec<&str> = p.iter().map(String::as_str).collect();
+            let tasks = 1 + w.any(20) as u32;
+            let kind = ["batch", "ensemble"][w.any(2)];
+            let s = Submission { cpus: Some(0.5), ..after(&id, kind, tasks, &p) };
+            // Old controllers record larger chunks.
+            w.chunk = if is_new[w.any(5)] { 12 } else { 64 };
+            let run = 500 + 500 * w.any(6) as u64;
+            w.submit(s, run);
+            names.push(id);
+            let pause = 200 * w.any(20) as u64;
+            w.run(pause);
+            match w.any(8) {
+                0 => {
+                    let at = w.any(names.len());
+                    w.cancel(&names[at].clone());
+                }
+                1 => w.die_after_txn = true,
+                2 => w.die_before_txn = true,
+                _ => {}
+            }
+            if round == 30 {
+                w.value_now = 1 << 10;
+            }
+        }
+        assert!(is_new.iter().all(|n| *n), "seed {seed}");
+        w.weather = Weather::default();
+        (w.die_after_txn, w.die_before_txn, w.writes_old_form, w.may_rechunk) = (false, false, false, true);
+        w.elect();
+        let over = |w: &World| names.iter().all(|n| w.told(n).is_some_and(|s| s != Status::Pending));
+        w.until(&format!("all over, seed {seed}"), 600_000, over);
+        w.run(60_000);
+        w.check(&format!("seed {seed}"));
+    }
+}
+
 // ---- the mirror alone --------------------------------------------------
 
 fn record(s: &Submission, status: Status, at_ms: u64) -> Value {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -275,6 +275,9 @@
     /// cut have not been heard.
     pub last_kept: Ms,
     pub unspoken: Option<Ms>,
+    /// The leader writes records as the version before did: no time in the end
+    /// of a job.
+    pub writes_old_form: bool,
     /// The controller reads no changes.
     pub blind: bool,
     /// Values that the state service takes now, in bytes, those that fit
@@ -349,6 +352,7 @@
             most_orders: 0,
             last_kept: 0,
             unspoken: None,
+            writes_old_form: false,
             blind: false,
             value_now: usize::MAX,
             value_max: usize::MAX,
@@ -750,10 +754,26 @@
         rec.is_some_and(|r| r.places.iter().any(|p| p.0 == n && p.1 == worker && p.3 == attempt))
     }
 
-    /// Our own rule: no launch is sent before the place is written.
+    /// A later leader would know that the task is done, or doesn't care.
+    fn is_end_written(&self, task: &str) -> bool {
+        let Some((job, n)) = split_task(task) else { return false };
+        let rec = self.store.keys.get(&records::job_key(job));
+        let Some(rec) = rec.and_then(|(v, _)| v.deserialized::<JobRecord>().ok()) else { return false };
+        let part = self.store.keys.get(&records::chunk_key(job, n / rec.chunk));
+        let part = part.and_then(|(v, _)| v.deserialized::<ChunkRecord>().ok());
+        rec.status != Status::Pending || part.is_some_and(|r| records::is_done(&r.done, (n % rec.chunk) as usize))
+    }
+
+    /// Our own rules: an end is written before the task is reaped, and no
+    /// launch is sent before its place is.
     fn judge_orders(&mut self, worker: &str, orders: &[Order]) {
         self.most_orders = self.most_orders.max(orders.len());
         for o in orders {
+            if let Order::Reap { task, .. } = o {
+                if self.completed.contains(task) && !self.records_lost && !self.is_end_written(task) {
+                    self.broken.push(format!("reaped: {task} on {worker} before its end is written at {}", self.now));
+                }
+            }
             let Order::Launch { task, attempt } = o else { continue };
             if !self.is_written(task, worker, *attempt) {
                 self.broken.push(format!("unwritten: {task} launched on {worker} at {}", self.now));
@@ -925,7 +945,16 @@
         if !l.has_writes(now, spare) {
             return;
         }
-        let Some(txn) = l.commit(now, max_ops, spare, &self.tables) else { return };
+        let Some(mut txn) = l.commit(now, max_ops, spare, &self.tables) else { return };
+        if self.writes_old_form {
+            for w in &mut txn.writes {
+                let Op::Put { key, v, .. } = w else { continue };
+                if let Some(rec) = key.starts_with(records::JOBS).then(|| v.deserialized::<JobRecord>().unwrap()) {
+                    let at_ms = if rec.status == Status::Done { 0 } else { rec.at_ms };
+                    *v = records::to_value(&JobRecord { at_ms, ..rec });
+                }
+            }
+        }
         if let Some(w) = &mut self.writes {
             let _ = w.controllers[0].commits.take(now, txn.writes.len() as f64, Urgency::Lease);
         }
