--- a/src/coordination/leader/chunks.rs
+++ b/src/coordination/leader/chunks.rs
@@ -4,7 +4,7 @@
 use super::{commits::MAX_BYTES, *};
 
 /// Between two jobs whose tasks are divided anew.
-const RECHUNK_GAP_MS: Ms = 200;
+pub(super) const RECHUNK_GAP_MS: Ms = 200;
 /// How long what is too large to be written is set aside.
 const HELD_MS: Ms = 2_000;
 
--- a/src/coordination/leader/commits.rs
+++ b/src/coordination/leader/commits.rs
@@ -1,6 +1,6 @@
 //! The wanted state, written: one transaction at a time.
 
-use super::*;
+use super::{chunks::RECHUNK_GAP_MS, *};
 
 /// Ends wait this long for others to be written with them; less when there is
 /// budget to spare.
@@ -79,8 +79,13 @@
                 }
             }
         }
-        self.flying.is_some()
-            || self.to_rechunk(now, spare).is_some()
+        let rechunk = self.to_rechunk(now, spare).is_some();
+        if !rechunk && now >= self.rechunk_after {
+            // Looked for now and then only.
+            self.rechunk_after = now + RECHUNK_GAP_MS;
+        }
+        rechunk
+            || self.flying.is_some()
             || (spare && !self.drops.is_empty())
             || self.active.iter().any(|&j| self.job(j).is_some_and(|j| Leader::write_class(j, now, spare).is_some()))
     }
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -553,7 +553,9 @@
         (0..1_001).map(|n| if n < 1_000 { vec![] } else { (0..1_000).map(name).collect() }).collect();
     let lattice: Vec<Vec<String>> =
         (0..2_000).map(|n| if n < 10 { vec![] } else { (n / 10 * 10 - 10..n / 10 * 10).map(name).collect() }).collect();
-    for (what, shape) in [("chain", chain), ("fan", fan), ("join", join), ("lattice", lattice)] {
+    // Where each has a deadline, every new one raises all above it.
+    let hard = chain.clone();
+    for (what, shape) in [("chain", chain), ("hard", hard), ("fan", fan), ("join", join), ("lattice", lattice)] {
         for backwards in [false, true] {
             for end in [Status::Cancelled, Status::Done] {
                 let last = shape.len() - 1;
@@ -562,7 +564,7 @@
                     .enumerate()
                     .map(|(n, p)| Submission {
                         prereqs: Some(p.clone()),
-                        deadline_s: (n == last).then_some(1e6),
+                        deadline_s: (n == last || what == "hard").then_some(1e6),
                         priority: Some(if n == last { "high" } else { "low" }.into()),
                         ..sub(&name(n), "batch", 1)
                     })
