--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -797,6 +797,7 @@
             lost_answer: 10,
             late_report: 10,
             lost_rent: 30,
+            ..Weather::default()
         };
         w.elect();
         for n in 0..12u32 {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -2,6 +2,8 @@
 //! a cloud, and a judge that watches every start. One leader's mind drives
 //! them; whoever writes a case decides what is held, lost or killed.
 
+#![allow(dead_code)] // each file of tests uses its own part of it
+
 use std::collections::HashMap;
 
 use ciborium::Value;
@@ -31,6 +33,8 @@
 const REPORT: Ms = 3_000;
 const STEP: Ms = 100;
 const FETCH: Ms = 1_000;
+const GANG_WAIT: Ms = 60_000;
+const GANG_PEER: Ms = 8_000;
 
 // ---- state service -----------------------------------------------------
 
@@ -186,10 +190,35 @@
 
 /// A command or report that arrives later than it was sent.
 pub enum Held {
-    Do { worker: usize, req: DoRequest },
-    SlowDo { worker: usize, req: DoRequest, machine: MachineIx, call: u64, stamp: u64 },
+    Do {
+        worker: usize,
+        req: DoRequest,
+    },
+    SlowDo {
+        worker: usize,
+        req: DoRequest,
+        machine: MachineIx,
+        call: u64,
+        stamp: u64,
+    },
     Report(Report),
     Txn(Txn),
+    /// Carried out when it comes, and answered later still.
+    SlowTxn {
+        txn: Txn,
+        stamp: u64,
+    },
+    TxnAnswer {
+        outcome: CommitOutcome,
+        stamp: u64,
+    },
+    /// The command was carried out; this is what the leader hears of it.
+    DoAnswer {
+        out: DoOutcome,
+        machine: MachineIx,
+        call: u64,
+        stamp: u64,
+    },
 }
 
 /// What happens to messages, decided anew for each.
@@ -212,6 +241,14 @@
     pub late_report: u32,
     /// A rental's answer is lost.
     pub lost_rent: u32,
+    /// A command is executed at once, its answer takes a second or two.
+    pub slow_answer: u32,
+    /// A transaction gets no answer and is carried out 2 to 12 s later.
+    pub late_txn: u32,
+    /// A report arrives again from within a lease to four of them later.
+    pub old_report: u32,
+    /// A report does not arrive now, but some seconds later, unanswered.
+    pub held_report: u32,
 }
 
 /// A controller's shares of the state service's writes; the first one leads.
@@ -277,6 +314,24 @@
     pub unspoken: Option<Ms>,
     /// Where writes are counted; elsewhere they are free.
     pub writes: Option<Writes>,
+    /// The state service refuses the leader: its reads and transactions get
+    /// 503. A read that was open waits.
+    pub refuse_leader: bool,
+    /// The longest that a read of the changes, or a transaction, takes.
+    pub changes_ms: Ms,
+    pub txn_ms: Ms,
+    /// The read under way: when it is answered, whose it is, what it says.
+    reading: Option<(Ms, u64, Changes)>,
+    /// Launches of tasks that had completed and were reaped.
+    pub done_again: usize,
+    /// Tasks of a gang wait for one another, and end when one of them is gone.
+    pub gangs: bool,
+    /// Since when a gang's task misses another one.
+    missing: HashMap<(String, u64), Ms>,
+    /// Starts of jobs whose cancellation was confirmed before.
+    pub starts_cancelled: usize,
+    /// Since when a job's tasks wait though there is room.
+    waits: HashMap<String, Ms>,
 }
 
 pub fn sub(id: &str, kind: &str, tasks: u32) -> Submission {
@@ -338,6 +393,15 @@
             last_kept: 0,
             unspoken: None,
             writes: None,
+            refuse_leader: false,
+            changes_ms: 0,
+            txn_ms: 0,
+            reading: None,
+            gangs: false,
+            done_again: 0,
+            missing: HashMap::new(),
+            starts_cancelled: 0,
+            waits: HashMap::new(),
         };
         w.tables.teams.intern("red");
         w.tables.types.intern("m");
@@ -566,6 +630,24 @@
                 Held::Txn(txn) => {
                     let _ = self.store.apply(&txn);
                 }
+                Held::SlowTxn { txn, stamp } => {
+                    let outcome = match self.store.apply(&txn) {
+                        Ok(epoch) => CommitOutcome::Done(epoch),
+                        Err(failed) => CommitOutcome::Conflict(failed),
+                    };
+                    let at = now + self.rng.random_range(0..self.txn_ms.max(1));
+                    self.held.push((at, Held::TxnAnswer { outcome, stamp }));
+                }
+                Held::TxnAnswer { outcome, stamp } => {
+                    if self.leader.as_mut().is_some_and(|l| l.stamp == stamp && !l.committed(now, outcome)) {
+                        self.leader = None;
+                    }
+                }
+                Held::DoAnswer { out, machine, call, stamp } => {
+                    if let Some(l) = self.leader.as_mut().filter(|l| l.stamp == stamp) {
+                        l.do_result(now, machine, call, out, &self.mirror, &mut self.tables);
+                    }
+                }
             }
         }
     }
@@ -588,22 +670,28 @@
         for t in 0..self.workers[n].tasks.len() {
             let task = self.workers[n].tasks[t].clone();
             let Some(run) = self.facts(&task.name).map(|f| f.run_ms) else { continue };
+            let gang = self.facts(&task.name).is_some_and(|f| f.sub.kind.as_deref() == Some("ensemble"));
+            let waits = self.gangs && gang && !self.completed.contains(&task.name);
             let longer = split_task(&task.name).map_or(0, |(_, n)| Ms::from(n % 16) * self.vary);
             let (state, why) = match task.state {
-                TaskState::Fetching if now >= task.since + self.fetch => {
+                TaskState::Fetching if now >= task.since + self.fetch && !waits => {
                     if self.completed.contains(&task.name) {
                         (TaskState::Exited, Some(Why::Done))
                     } else {
                         (TaskState::Running, None)
                     }
                 }
+                TaskState::Fetching if now >= task.since + self.fetch && waits => (TaskState::Waiting, None),
+                TaskState::Waiting if self.is_complete(&task) => (TaskState::Running, None),
+                TaskState::Waiting if now >= task.since + GANG_WAIT => (TaskState::Exited, Some(Why::Alone)),
+                TaskState::Running if waits && self.misses_one(&task) => (TaskState::Exited, Some(Why::Peers)),
                 TaskState::Running if run > 0 && now >= task.since + run + longer => {
                     self.completed.insert(task.name.clone());
                     (TaskState::Exited, Some(Why::Done))
                 }
                 _ => continue,
             };
-            if state == TaskState::Running {
+            if task.state == TaskState::Fetching && state != TaskState::Exited {
                 self.judge_start(n, &task.name);
             }
             let w = &mut self.workers[n];
@@ -618,6 +706,27 @@
         }
     }
 
+    /// Is every task of this one's gang done, or there with its attempt?
+    fn is_complete(&self, task: &WorkerTask) -> bool {
+        let Some((job, _)) = split_task(&task.name) else { return false };
+        let there = |name: &str| {
+            let same = |t: &WorkerTask| t.name == name && t.attempt == task.attempt && t.is_there();
+            self.workers.iter().any(|w| !w.dead && !w.hung && w.tasks.iter().any(same))
+        };
+        let names = (0..self.jobs[job].sub.tasks.unwrap() as u32).map(|n| format!("{job}/{n}"));
+        names.into_iter().all(|name| self.completed.contains(&name) || there(&name))
+    }
+
+    fn misses_one(&mut self, task: &WorkerTask) -> bool {
+        let key = (task.name.clone(), task.attempt);
+        if self.is_complete(task) {
+            self.missing.remove(&key);
+            return false;
+        }
+        let since = *self.missing.entry(key).or_insert(self.now);
+        self.now >= since + GANG_PEER
+    }
+
     fn expire(&mut self, n: usize) {
         let w = &mut self.workers[n];
         if self.now > w.leased + LEASE {
@@ -628,7 +737,7 @@
     fn send_report(&mut self, n: usize) {
         let sent = self.now;
         let r = self.workers[n].report();
-        if self.workers[n].cut && self.workers[n].kept && r.token > 0 {
+        if (self.workers[n].cut || self.workers[n].mute) && self.workers[n].kept && r.token > 0 {
             self.workers[n].leased = sent;
             self.last_kept = sent;
         }
@@ -639,6 +748,15 @@
             let at = sent + self.rng.random_range(1_000..120_000);
             self.held.push((at, Held::Report(r.clone())));
         }
+        if self.chance(self.weather.old_report) {
+            let at = sent + self.rng.random_range(LEASE / 2..4 * LEASE);
+            self.held.push((at, Held::Report(r.clone())));
+        }
+        if self.chance(self.weather.held_report) {
+            let at = sent + self.rng.random_range(500..LEASE / 2);
+            self.held.push((at, Held::Report(r)));
+            return;
+        }
         let Some(l) = &mut self.leader else { return };
         let Answer::Ok(a) = l.report(sent, &r, &self.mirror, &mut self.tables) else { return };
         let id = self.workers[n].id.clone();
@@ -684,6 +802,7 @@
                         (_, true) => (TaskState::Exited, Some(Why::NoRoom)),
                         _ => (TaskState::Fetching, None),
                     };
+                    self.done_again += usize::from(self.completed.contains(task));
                     w.tasks.push(WorkerTask { name: task.clone(), attempt: *attempt, state, why, since: self.now });
                     w.changed = true;
                 }
@@ -748,6 +867,7 @@
             }
         }
         let f = &self.jobs[job];
+        self.starts_cancelled += usize::from(f.cancelled_at.is_some());
         let here = &self.workers[n].zone;
         let mut zones: HashMap<&str, u32> = HashMap::new();
         for w in self.workers.iter().filter(|w| !w.dead) {
@@ -795,6 +915,10 @@
         self.broken.extend(broken);
         // not_done: a record may say done only once all its tasks completed.
         for (id, f) in &self.jobs {
+            // went_back: what was called cancelled stays so.
+            if f.cancelled_at.is_some() && self.status(id) != Status::Cancelled {
+                self.broken.push(format!("went_back: {id} at {}", self.now));
+            }
             if self.status(id) == Status::Done {
                 let all = (0..f.sub.tasks.unwrap() as u32).all(|n| self.completed.contains(&format!("{id}/{n}")));
                 if !all {
@@ -816,8 +940,7 @@
             return;
         }
         let now = self.now;
-        let changes = self.store.changes(records::JOBS, self.mirror.epoch());
-        self.mirror.apply(&changes, &mut self.tables);
+        self.read_changes();
         let changed = self.mirror.take_changed();
         let Some(l) = &mut self.leader else { return };
         for ix in changed {
@@ -842,10 +965,30 @@
         }
     }
 
+    fn read_changes(&mut self) {
+        let (now, stamp) = (self.now, self.leader.as_ref().map_or(0, |l| l.stamp));
+        if self.refuse_leader {
+            return;
+        }
+        if self.changes_ms == 0 {
+            self.reading = None;
+            let changes = self.store.changes(records::JOBS, self.mirror.epoch());
+            self.mirror.apply(&changes, &mut self.tables);
+            return;
+        }
+        if let Some((_, _, changes)) = self.reading.take_if(|r| r.1 == stamp && r.0 <= now) {
+            self.mirror.apply(&changes, &mut self.tables);
+        }
+        if self.reading.as_ref().is_none_or(|r| r.1 != stamp) {
+            let at = now + self.rng.random_range(0..self.changes_ms);
+            self.reading = Some((at, stamp, self.store.changes(records::JOBS, self.mirror.epoch())));
+        }
+    }
+
     fn commit(&mut self) {
         let now = self.now;
         let Some(l) = &mut self.leader else { return };
-        if let Some(key) = l.resync_key().map(str::to_owned) {
+        if let Some(key) = l.resync_key().filter(|_| !self.refuse_leader).map(str::to_owned) {
             let found = self.store.keys.get(&key).cloned();
             l.resynced(now, &key, found);
         }
@@ -881,7 +1024,7 @@
             self.leader = None;
             return;
         }
-        if self.txns_left == Some(0) {
+        if self.txns_left == Some(0) || self.refuse_leader {
             if let Some(l) = &mut self.leader {
                 l.committed(now, CommitOutcome::Refused);
             }
@@ -900,6 +1043,19 @@
             }
             return;
         }
+        if self.chance(self.weather.late_txn) {
+            let at = now + self.rng.random_range(2_000..12_000);
+            self.held.push((at, Held::Txn(txn)));
+            if let Some(l) = &mut self.leader {
+                l.committed(now, CommitOutcome::Unknown);
+            }
+            return;
+        }
+        if self.txn_ms > 0 {
+            let at = now + self.rng.random_range(0..self.txn_ms);
+            self.held.push((at, Held::SlowTxn { txn, stamp }));
+            return;
+        }
         let outcome = match self.store.apply(&txn) {
             Ok(epoch) => CommitOutcome::Done(epoch),
             Err(failed) => CommitOutcome::Conflict(failed),
@@ -943,7 +1099,14 @@
                         let at = now + self.rng.random_range(200..40_000);
                         self.held.push((at, Held::Do { worker: n, req: req.clone() }));
                     }
-                    self.execute_do(n, &req)
+                    let out = self.execute_do(n, &req);
+                    if self.chance(self.weather.slow_answer) {
+                        let stamp = self.leader.as_ref().map_or(0, |l| l.stamp);
+                        let at = now + self.rng.random_range(300..1_900);
+                        self.held.push((at, Held::DoAnswer { out, machine, call, stamp }));
+                        return;
+                    }
+                    out
                 };
                 if let Some(l) = &mut self.leader {
                     l.do_result(now, machine, call, out, &self.mirror, &mut self.tables);
@@ -1030,6 +1193,108 @@
         Report { seq, ..report }
     }
 
+    /// All troubles are over. Whatever is still on its way arrives all the same.
+    pub fn clear_up(&mut self) {
+        self.weather = Weather::default();
+        (self.refuse_leader, self.changes_ms, self.txn_ms, self.unspoken) = (false, 0, 0, None);
+        for x in &mut self.workers {
+            (x.cut, x.hung, x.stone, x.deaf, x.mute, x.kept) = (false, false, false, false, false, false);
+        }
+        self.waits.clear();
+        if self.leader.is_none() {
+            self.elect();
+        }
+    }
+
+    /// Runs for so long; no job is left waiting for 90 s while there is room.
+    pub fn calm(&mut self, name: &str, ids: &[String], ms: Ms) {
+        let end = self.now + ms;
+        while self.now < end {
+            for id in ids {
+                if !self.is_served(id) && self.has_room(id) {
+                    let since = *self.waits.entry(id.clone()).or_insert(self.now);
+                    assert!(self.now <= since + 90_000, "{name}: {id} is left waiting, with room");
+                } else {
+                    self.waits.remove(id);
+                }
+            }
+            self.run(1_000);
+        }
+    }
+
+    /// Runs until every job that was not cancelled is done, or runs if it is a
+    /// service; meanwhile none is left waiting.
+    pub fn settles(&mut self, name: &str, max: Ms) {
+        let end = self.now + max;
+        let mut ids: Vec<String> = self.jobs.keys().cloned().collect();
+        ids.sort();
+        loop {
+            let waiting: Vec<String> = ids.iter().filter(|id| !self.is_served(id)).cloned().collect();
+            if waiting.is_empty() {
+                return;
+            }
+            assert!(self.now < end, "{name}: never came: {waiting:?}, {:?}", self.broken);
+            self.calm(name, &ids, 1_000);
+        }
+    }
+
+    fn is_served(&self, id: &str) -> bool {
+        let f = &self.jobs[id];
+        let service = f.sub.kind.as_deref() == Some("service");
+        let there = |n: u32| self.where_is(&format!("{id}/{n}")).is_some();
+        match self.status(id) {
+            Status::Pending => service && (0..f.sub.tasks.unwrap() as u32).all(there),
+            Status::Done | Status::Cancelled => true,
+        }
+    }
+
+    /// Does some machine fit a task of this job that is nowhere, or, for a
+    /// gang, do machines fit all of them?
+    fn has_room(&self, id: &str) -> bool {
+        let s = &self.jobs[id].sub;
+        let (tasks, gang) = (s.tasks.unwrap() as u32, s.kind.as_deref() == Some("ensemble"));
+        let name = |n: u32| format!("{id}/{n}");
+        let at = |n: u32| {
+            let there = |t: &WorkerTask| t.name == name(n) && t.state != TaskState::Exited;
+            self.workers.iter().position(|x| !x.dead && x.tasks.iter().any(there))
+        };
+        let nowhere: Vec<u32> = (0..tasks).filter(|&n| !self.completed.contains(&name(n)) && at(n).is_none()).collect();
+        if nowhere.is_empty() || (gang && nowhere.len() < tasks as usize) {
+            return false; // it is on its way, or its rest has to end first
+        }
+        let (cpus, gpus) = (s.cpus.unwrap(), s.gpus.unwrap());
+        let needed = if gang { nowhere.len() } else { 1 };
+        let (mut used, mut free) = (0.0, Vec::new());
+        for x in self.workers.iter().filter(|x| !x.dead) {
+            let live = x.tasks.iter().filter(|t| t.state != TaskState::Exited);
+            let (mut n, mut cpus_left, mut gpus_left) = (0, 8.0, 4.0);
+            for sub in live.filter_map(|t| Some(&self.facts(&t.name)?.sub)) {
+                (n, cpus_left, gpus_left) = (n + 1, cpus_left - sub.cpus.unwrap(), gpus_left - sub.gpus.unwrap());
+                used += sub.gpus.unwrap();
+            }
+            let by_gpus = if gpus > 0.0 { (gpus_left / gpus) as usize } else { usize::MAX };
+            let fits = ((cpus_left / cpus) as usize).min(by_gpus).min(self.slots.saturating_sub(n));
+            if s.zone.as_ref().is_none_or(|z| *z == x.zone) && (s.spot == Some(true) || !x.spot) {
+                free.push((x.zone.as_str(), fits));
+            }
+        }
+        if self.team_gpus_max > 0.0 && used + gpus * needed as f64 > self.team_gpus_max {
+            return false;
+        }
+        let in_zone = |z: &str| free.iter().filter(|f| f.0 == z).map(|f| f.1).sum::<usize>();
+        let taken = |z: &str| (0..tasks).filter_map(at).filter(|&n| self.workers[n].zone == z).count();
+        let (a, b) = (in_zone("a"), in_zone("b"));
+        if s.one_zone == Some(true) {
+            let (in_a, in_b) = (taken("a") > 0, taken("b") > 0);
+            return (a >= needed && !in_b) || (b >= needed && !in_a);
+        }
+        if s.spread == Some(true) {
+            let cap = tasks.div_ceil(2) as usize;
+            return a.min(cap.saturating_sub(taken("a"))) + b.min(cap.saturating_sub(taken("b"))) >= needed;
+        }
+        a + b >= needed
+    }
+
     /// Where a task is, by worker number.
     pub fn where_is(&self, task: &str) -> Option<usize> {
         self.workers.iter().position(|w| World::holds(w, task))
