--- /dev/null
+++ b/src/bookkeeping/tests/budget.rs
@@ -0,0 +1,53 @@
+use super::*;
+
+#[test]
+fn budget_table() {
+    // (at ms, amount, urgency, allowed)
+    let cases = [
+        (0, 8.0, Urgency::Submit, true),
+        (0, 1.0, Urgency::Submit, false), // 2 left, Submit must leave 2
+        (0, 1.0, Urgency::Commit, true),
+        (0, 1.0, Urgency::Commit, false),
+        (0, 1.0, Urgency::Cancel, true),
+        (0, 1.0, Urgency::Cancel, false),
+        (0, 1.0, Urgency::Lease, true), // into debt
+        (100, 1.0, Urgency::Cancel, false),
+        (200, 1.0, Urgency::Cancel, true),
+        (100_000, 50.0, Urgency::Commit, true), // more than the bucket: from a full one
+        (100_000, 1.0, Urgency::Cancel, false),
+    ];
+    let mut b = Budget::new(10.0, 10.0);
+    for (i, (at, n, u, want)) in cases.into_iter().enumerate() {
+        assert_eq!(b.take(at, n, u).is_ok(), want, "case {i}");
+    }
+    let mut b = Budget::new(10.0, 10.0);
+    b.refused(0);
+    assert_eq!(b.take(0, 1.0, Urgency::Cancel), Err(100));
+}
+
+/// Guard: fixed shares left half of the limit unused while submissions were
+/// refused; whoever is silent keeps its part.
+#[test]
+fn shares_follow_need() {
+    let (idle, silent) = (Some(0.0), None);
+    let (leader, users) = (Part::Leader, Part::Users(5));
+    // (part, others, at least, at most), of a limit of 100
+    let cases: [(Part, &[Option<f64>], f64, f64); 6] = [
+        (leader, &[idle; 4], 90.0, 95.0),
+        (leader, &[silent; 4], 70.0, 72.0),
+        (leader, &[Some(30.0); 4], 50.0, 50.0),
+        (users, &[Some(60.0), idle, idle, idle], 30.0, 35.0),
+        (users, &[Some(95.0), idle, idle, idle], 6.0, 6.0),
+        (Part::Users(1), &[], 90.0, 95.0),
+    ];
+    for (part, others, least, most) in cases {
+        let got = share(100.0, part, others);
+        assert!((least..=most).contains(&got), "{part:?} {others:?}: {got}");
+    }
+    let mut b = Budget::new(100.0, 100.0);
+    for ms in 0..50 {
+        let _ = b.take(ms * 100, 2.0, Urgency::Submit);
+        b.used(ms * 100);
+    }
+    assert!((19.0..21.0).contains(&b.used(4_900)), "{}", b.used(4_900));
+}
--- /dev/null
+++ b/src/bookkeeping/tests/mirror.rs
@@ -0,0 +1,75 @@
+use super::*;
+use crate::protocol::{cbor, jobs::Submission, store::Change};
+
+fn record(status: Status) -> Value {
+    let bytes = cbor::encode(&crate::protocol::jobs::tests::sample());
+    let submission: Submission = cbor::decode(&bytes).unwrap();
+    to_value(&JobRecord { submission, status, at_ms: 5, chunk: 64 })
+}
+
+fn change(status: Status, stamp: u64) -> Changes {
+    let c = Change { write: Some(job_key("j-000412")), drop: None, v: Some(record(status)), stamp };
+    Changes { epoch: stamp, events: vec![c] }
+}
+
+#[test]
+fn never_back_whatever_the_order() {
+    use Status::*;
+    // Changes as they arrive, with stamps, and the status after each.
+    let cases: [&[(Status, u64, Status)]; 4] = [
+        &[(Pending, 1, Pending), (Cancelled, 4, Cancelled)],
+        &[(Pending, 1, Pending), (Done, 4, Done), (Pending, 1, Done)],
+        &[(Done, 4, Done), (Pending, 1, Done), (Pending, 9, Done)],
+        &[(Pending, 3, Pending), (Pending, 3, Pending)],
+    ];
+    for (n, case) in cases.iter().enumerate() {
+        let mut m = Mirror::default();
+        let mut t = Tables::default();
+        let mut top = 0;
+        for (status, stamp, want) in *case {
+            m.apply(&change(*status, *stamp), &mut t);
+            top = top.max(*stamp);
+            let ix = m.find("j-000412").expect("known");
+            assert_eq!(m.get(ix).status, *want, "case {n}");
+            assert_eq!(m.epoch(), top, "case {n}");
+        }
+    }
+}
+
+/// Guard: a peer's word of a cancellation counts at once, and neither it nor
+/// the record it speaks of turns anything back, in whatever order they come.
+#[test]
+fn a_peers_word_of_a_cancellation() {
+    use Status::*;
+    // (record known before, told stamp, record read after, status at the end)
+    let cases = [
+        (Some((Pending, 3)), 7, None, Some(Cancelled)),
+        (Some((Pending, 3)), 7, Some((Cancelled, 7)), Some(Cancelled)),
+        (Some((Cancelled, 7)), 7, None, Some(Cancelled)),
+        (Some((Done, 9)), 7, None, Some(Done)),
+        (None, 7, Some((Cancelled, 7)), Some(Cancelled)),
+        (None, 7, None, None),
+    ];
+    for (n, (before, told, after, want)) in cases.into_iter().enumerate() {
+        let (mut m, mut t) = (Mirror::default(), Tables::default());
+        let read = |m: &mut Mirror, t: &mut Tables, r: Option<(Status, u64)>| {
+            if let Some((status, stamp)) = r {
+                m.apply(&change(status, stamp), t);
+            }
+        };
+        read(&mut m, &mut t, before);
+        m.take_changed();
+        m.cancelled_elsewhere("j-000412", told, &mut t);
+        let first = matches!(before, Some((Pending, _)));
+        assert_eq!(m.take_changed().len(), usize::from(first), "case {n}: the leader is told once");
+        read(&mut m, &mut t, after);
+        assert_eq!(m.find("j-000412").map(|ix| m.get(ix).status), want, "case {n}");
+    }
+}
+
+#[test]
+fn a_record_that_cannot_be_read_is_left_out() {
+    let mut m = Mirror::default();
+    assert_eq!(m.put("j/j-1", &Value::Text("?".into()), 3, &mut Tables::default()), None);
+    assert!(m.is_empty());
+}
--- a/src/bookkeeping/versions.rs
+++ b/src/bookkeeping/versions.rs
@@ -61,38 +61,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::{bookkeeping::records::to_value, protocol::store::Pair};
-    use ciborium::Value;
-
-    #[test]
-    fn evidence_table() {
-        let new = || to_value(&VersionRecord { version: VERSION, nonce: 7 });
-        let old = || to_value(&VersionRecord { version: 1, nonce: 7 });
-        // Pages as they are read, and whether all are known to be new after the last.
-        type Keys = Vec<(&'static str, Value)>;
-        let cases: Vec<(Vec<Keys>, bool)> = vec![
-            (vec![], false),
-            (vec![vec![]], false),
-            (vec![vec![("version/a", new())]], false),
-            (vec![vec![("version/a", new()), ("version/b", new())]], true),
-            (vec![vec![("version/a", new())], vec![("version/a", new()), ("version/b", new())]], true),
-            // A key was removed: somebody goes back.
-            (vec![vec![("version/a", new()), ("version/b", new())], vec![("version/b", new())]], false),
-            (vec![vec![("version/a", new()), ("version/b", old())]], false),
-            (vec![vec![("version/a", new()), ("version/b", Value::Null)]], false),
-            (vec![vec![("version/a", new()), ("version/c", new())]], false),
-            (vec![vec![("version/a", new()), ("leader/b", new())]], false),
-            (vec![vec![("version/a", new()), ("version/b/x", new())]], false),
-        ];
-        for (i, (pages, want)) in cases.into_iter().enumerate() {
-            let mut e = Evidence::new(["a", "b"].into_iter());
-            for keys in pages {
-                let pair = |(k, v): (&str, Value)| Pair { key: k.into(), v, stamp: 3, permit: None };
-                e.saw(&Page { pairs: keys.into_iter().map(pair).collect(), truncated: false, epoch: 9 });
-            }
-            assert_eq!(e.is_complete(), want, "case {i}");
-        }
-    }
-}
+#[path = "tests/versions.rs"]
+mod tests;
--- /dev/null
+++ b/src/coordination/tests/model.rs
@@ -0,0 +1,56 @@
+use super::*;
+use crate::protocol::{
+    jobs::{Kind, Priority},
+    names::{ClassIx, ImageIx, TeamIx},
+};
+
+pub fn spec(kind: Kind, priority: Priority, tasks: u32, cpus: f64) -> JobSpec {
+    JobSpec {
+        class: ClassIx(0),
+        team: TeamIx(0),
+        kind,
+        priority,
+        tasks,
+        cpus,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: ImageIx(0),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+        overdue_s: None,
+    }
+}
+
+#[test]
+fn limits_table() {
+    let some = |c: f64, g: f64| TeamLimits {
+        cpus_max: (c > 0.0).then_some(c),
+        gpus_max: (g > 0.0).then_some(g),
+        ..TeamLimits::default()
+    };
+    // (limit, gpus a task, used gpus, tasks more, kind, tasks, ever)
+    let cases = [
+        (some(0.0, 0.0), 4.0, 100.0, u32::MAX, Kind::Gang, 9, true),
+        (some(0.0, 16.0), 4.0, 8.0, 2, Kind::Gang, 4, true),
+        (some(0.0, 16.0), 4.0, 8.0, 2, Kind::Gang, 5, false),
+        (some(0.0, 16.0), 4.0, 16.0, 0, Kind::Array, 50, true),
+        (some(0.0, 3.0), 4.0, 0.0, 0, Kind::Array, 1, false),
+        (some(0.0, 16.0), 0.0, 16.0, u32::MAX, Kind::Service, 3, true),
+        (some(5.0, 0.0), 0.0, 0.0, 2, Kind::Service, 3, false),
+    ];
+    for (i, (limits, gpus, used, room, kind, tasks, ever)) in cases.into_iter().enumerate() {
+        let mut s = spec(kind, Priority::Low, tasks, 2.0);
+        s.gpus = gpus;
+        let used = Res { gpus: used, ..Res::default() };
+        assert_eq!(limits.room_for(&s, &used), room, "case {i}");
+        assert_eq!(limits.ever_allows(&s), ever, "case {i}");
+    }
+}
--- /dev/null
+++ b/src/node/tests/wiring.rs
@@ -0,0 +1,62 @@
+use super::*;
+use crate::protocol::settings::tests::SAMPLE;
+
+const SEED: &str = "[[seeds]]\nlabel = \"n-1\"\nendpoint = \"127.0.0.1:3\"\n[outside]";
+
+/// The rates follow the first refusal, and stay; sizes fit from the start.
+#[test]
+fn limits_are_lowered_once_they_show() {
+    let event_loop = EventLoop::try_new().unwrap();
+    let limits = Limits { sockets: 100, idle_ms: 1_000, head_ms: 1_000, stale_ms: 1_000 };
+    const NEXT: &str = "[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 20.0\n[cluster.cloud]";
+    // (next limits, answer, bursts of the leader's writes before and after)
+    let cases = [(true, 429, 15.0, 10.0), (true, 503, 15.0, 15.0), (true, 200, 15.0, 15.0), (false, 429, 15.0, 15.0)];
+    for (has_next, status, before, after) in cases {
+        let mut net = Net::new(&event_loop, Limits { ..limits });
+        let text = if has_next { SAMPLE.replacen("[cluster.cloud]", NEXT, 1) } else { SAMPLE.to_owned() };
+        let mut n = Node::new(Settings::parse(&text, "x.toml").unwrap(), Operator::default(), &mut net);
+        let sizes = (n.leader_config().txn_ops, n.leader_config().value_fit);
+        assert_eq!(sizes, if has_next { (4, 2_048) } else { (24, 16_384) });
+        n.set_budgets(1_000, true);
+        assert_eq!(n.commits.burst(), before);
+        for _ in 0..2 {
+            n.state_answered(1_000, &Ok(Reply { status, body: Vec::new(), close: false }));
+            n.set_budgets(1_000, true);
+            assert_eq!(n.commits.burst(), after, "{has_next} {status}");
+        }
+    }
+}
+
+/// Guard: a controller that had lost state service and peers sent its
+/// workers to a leader that was long gone.
+#[test]
+fn workers_are_sent_only_to_a_leader_that_is_there() {
+    let event_loop = EventLoop::try_new().unwrap();
+    let limits = Limits { sockets: 100, idle_ms: 1_000, head_ms: 1_000, stale_ms: 1_000 };
+    let mut net = Net::new(&event_loop, limits);
+    let settings = Settings::parse(&SAMPLE.replacen("[outside]", SEED, 1), "x.toml").unwrap();
+    let mut n = Node::new(settings, Operator::default(), &mut net);
+    const NOW: Ms = 100_000;
+    // (who holds the key, peer last heard, says it leads, state service
+    // last answered, has been failing, whom workers are sent to)
+    let cases = [
+        (Some("n-1"), Some(300), true, 300, false, Some("n-1")),
+        (Some("n-1"), None, false, 300, false, Some("n-1")),
+        (Some("n-1"), Some(300), true, 60_000, true, Some("n-1")),
+        (Some("n-1"), Some(5_000), true, 60_000, true, None),
+        (Some("n-1"), Some(300), false, 300, true, None),
+        (Some("n-1"), None, false, 10_000, false, None),
+        (Some("n-0"), Some(300), true, 300, false, None),
+        (Some("gone"), Some(300), true, 300, false, None),
+        (None, Some(300), true, 300, false, None),
+    ];
+    for (i, (key, heard, leads, answered, failing, want)) in cases.into_iter().enumerate() {
+        let rec = key.map(|l| LeaderRecord { label: l.to_owned(), nonce: 9 });
+        n.election.saw_key(NOW, rec, 10 + i as u64);
+        n.peers[0].heard = heard.map(|ms| NOW - ms);
+        n.peers[0].leading = leads;
+        n.state_ok = NOW - answered;
+        n.state_bad_since = failing.then_some(NOW - 200);
+        assert_eq!(n.boss(NOW), want, "case {i}");
+    }
+}
--- /dev/null
+++ b/src/transport/tests/net.rs
@@ -0,0 +1,144 @@
+use super::*;
+
+struct Bed {
+    event_loop: EventLoop<'static, Net>,
+    net: Net,
+    at: SocketAddr,
+}
+
+fn bed(limits: Limits) -> Bed {
+    let event_loop = EventLoop::try_new().unwrap();
+    let mut net = Net::new(&event_loop, limits);
+    let at = net.listen("127.0.0.1:0".parse().unwrap(), false).unwrap();
+    Bed { event_loop, net, at }
+}
+
+impl Bed {
+    fn turn(&mut self, ms: u64) {
+        let until = self.net.now() + ms;
+        while self.net.now() < until {
+            self.net.turn(&mut self.event_loop, Duration::from_millis(5)).unwrap();
+            while let Some(e) = self.net.pop() {
+                if let Event::Request { conn, req } = e {
+                    if req.path == "/now" {
+                        self.net.respond(conn, 200, None, b"");
+                    } else if req.path == "/report" {
+                        self.net.respond_report(conn, 200, b"");
+                    }
+                }
+            }
+        }
+    }
+
+    fn client(&mut self, send: &[u8]) -> TcpStream {
+        let mut s = TcpStream::connect(self.at).unwrap();
+        s.write_all(send).unwrap();
+        s.set_nonblocking(true).unwrap();
+        s
+    }
+}
+
+fn is_open(s: &mut TcpStream) -> bool {
+    let mut buf = [0; 1024];
+    loop {
+        match s.read(&mut buf) {
+            Ok(0) => return false,
+            Ok(_) => {}
+            Err(e) => return e.kind() == io::ErrorKind::WouldBlock,
+        }
+    }
+}
+
+/// Guard: a connection lives only as long as something comes of it.
+#[test]
+fn connections_that_idle_are_closed() {
+    let mut b = bed(Limits { sockets: 100, idle_ms: 1_500, head_ms: 300, stale_ms: 100 });
+    // (what the client sends, open after 700 ms, open after 2,500 ms)
+    let cases: [(&[u8], bool, bool); 4] = [
+        (b"", true, false),
+        (b"GET /now HTTP/1.1\r\n\r\n", true, false),
+        (b"GET /now HT", false, false),
+        (b"POST /now HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", false, false),
+    ];
+    let mut clients: Vec<TcpStream> = cases.iter().map(|c| b.client(c.0)).collect();
+    b.turn(700);
+    for (c, (sent, open, _)) in clients.iter_mut().zip(cases) {
+        assert_eq!(is_open(c), open, "after 700 ms: {}", String::from_utf8_lossy(sent));
+    }
+    b.turn(1_800);
+    for (c, (sent, _, open)) in clients.iter_mut().zip(cases) {
+        assert_eq!(is_open(c), open, "after 2,500 ms: {}", String::from_utf8_lossy(sent));
+    }
+    assert_eq!(b.net.sockets(), 0);
+}
+
+/// Guard: more workers than sockets. Those who found none lost their
+/// leases, and users and probes were refused with them.
+#[test]
+fn sockets_fewer_than_workers() {
+    let mut b = bed(Limits { sockets: 64, idle_ms: 60_000, head_ms: 5_000, stale_ms: 30_000 });
+    let mut workers: Vec<Option<TcpStream>> = (0..96).map(|_| None).collect();
+    for round in 0..4 {
+        for (n, worker) in workers.iter_mut().enumerate() {
+            if !worker.as_mut().is_some_and(is_open) {
+                *worker = Some(b.client(b""));
+            }
+            let Some(s) = worker else { continue };
+            s.write_all(b"GET /report HTTP/1.1\r\n\r\n").unwrap();
+            b.turn(5);
+            let got = s.read(&mut [0; 1024]).unwrap_or(0);
+            assert!(got > 0, "round {round}: worker {n} is not answered");
+        }
+        let mut user = b.client(b"GET /now HTTP/1.1\r\n\r\n");
+        b.turn(20);
+        assert!(is_open(&mut user), "round {round}: a user is refused");
+    }
+    assert!(b.net.sockets() <= 48 && b.net.sockets() > 32, "{} sockets", b.net.sockets());
+}
+
+/// Guard: after a halt, what waits in the sockets is old: no request of
+/// then is carried out, and no answer of then believed.
+#[test]
+fn after_a_halt_nothing_old_counts() {
+    let mut b = bed(Limits { sockets: 64, idle_ms: 60_000, head_ms: 5_000, stale_ms: 30_000 });
+    let other = TcpListener::bind("127.0.0.1:0").unwrap();
+    let dest = other.local_addr().unwrap();
+    b.net.call(Call { dest, method: "GET", path: "/".into(), body: vec![], timeout_ms: 60_000, tag: 7 });
+    b.turn(50);
+    let (mut far, _) = other.accept().unwrap();
+    far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+    let mut client = b.client(b"GET /now HTTP/1.1\r\n\r\n");
+    // Read, but not acted on yet.
+    for _ in 0..5 {
+        b.net.turn(&mut b.event_loop, Duration::from_millis(10)).unwrap();
+    }
+    b.net.stood_still();
+    let mut events = Vec::new();
+    while let Some(e) = b.net.pop() {
+        events.push(e);
+    }
+    assert!(matches!(&events[..], [Event::Reply { tag: 7, result: Err(CallError::Unknown) }]), "{events:?}");
+    b.turn(20);
+    assert!(!is_open(&mut client) && b.net.sockets() == 0);
+}
+
+/// Guard: machines that are gone left their connections behind; at the
+/// limit those that live found none, until leases ran out.
+#[test]
+fn at_the_limit_the_longest_idle_make_room() {
+    let mut b = bed(Limits { sockets: 40, idle_ms: 60_000, head_ms: 5_000, stale_ms: 300 });
+    let mut old: Vec<TcpStream> = (0..24).map(|_| b.client(b"GET /now HTTP/1.1\r\n\r\n")).collect();
+    b.turn(100);
+    // One is being answered: it is not idle, however long it takes.
+    old[0].write_all(b"GET /later HTTP/1.1\r\n\r\n").unwrap();
+    let mut early = b.client(b"GET /now HTTP/1.1\r\n\r\n");
+    b.turn(100);
+    assert!(!is_open(&mut early), "nothing idle for long yet: refused");
+    b.turn(400);
+    let mut new: Vec<TcpStream> = (0..10).map(|_| b.client(b"GET /now HTTP/1.1\r\n\r\n")).collect();
+    b.turn(200);
+    assert!(new.iter_mut().all(is_open), "room is made for those that come");
+    assert!(is_open(&mut old[0]), "a request that is being answered is not cut off");
+    assert!(old.iter_mut().filter_map(|c| is_open(c).then_some(())).count() < 24);
+    assert!(b.net.sockets() <= 24);
+}
