--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -7,7 +7,7 @@
     bookkeeping::records::{chunk_size, job_key, JobRecord, Status},
     protocol::jobs::Submission,
 };
-use world::{sub, Weather, World};
+use world::{sub, Case, Weather, World};
 
 const KB: usize = 1_024;
 
@@ -294,7 +294,6 @@
 
 #[test]
 fn lowered_limits_table() {
-    type Case = (&'static str, fn(&mut World));
     let cases: &[Case] = &[
         ("an array runs", lowered_while_an_array_runs),
         ("before a gang starts", lowered_before_a_gang_starts),
--- a/tests/meetings.rs
+++ b/tests/meetings.rs
@@ -9,9 +9,7 @@
     coordination::keeping,
     protocol::workers::{Report, TaskState, Why},
 };
-use world::{sub, Held, Weather, World, CANCEL, LEASE};
-
-type Case = (&'static str, fn(&mut World));
+use world::{sub, Case, Held, Weather, World, CANCEL, LEASE};
 
 fn all_there(w: &World, id: &str, tasks: u32) -> bool {
     (0..tasks).all(|n| w.where_is(&format!("{id}/{n}")).is_some())
--- a/tests/pipelines.rs
+++ b/tests/pipelines.rs
@@ -17,7 +17,7 @@
         store::{Change, Changes},
     },
 };
-use world::{sub, Weather, World};
+use world::{run_table, sub, Weather, World};
 
 fn after(id: &str, kind: &str, tasks: u32, prereqs: &[&str]) -> Submission {
     let prereqs = Some(prereqs.iter().map(|p| (*p).to_owned()).collect());
@@ -160,18 +160,6 @@
     ]);
 }
 
-type Case = (&'static str, fn(&mut World));
-
-fn run_table(cases: &[Case]) {
-    for (n, (name, case)) in cases.iter().enumerate() {
-        eprintln!("case: {name}");
-        let mut w = World::new(n as u64, 4);
-        w.elect();
-        case(&mut w);
-        w.check(name);
-    }
-}
-
 // ---- cancellations -----------------------------------------------------
 
 /// Guard: whichever step is cancelled, at whatever time, all after it are, and
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -8,9 +8,7 @@
     coordination::{keeping, picture::LOOK},
     protocol::workers::{TaskReport, TaskState},
 };
-use world::{sub, Held, Weather, World, CANCEL, LEASE};
-
-type Case = (&'static str, fn(&mut World));
+use world::{run_table, sub, Case, Held, Weather, World, CANCEL, LEASE};
 
 fn crash_before_the_write(w: &mut World) {
     w.die_before_txn = true;
@@ -795,13 +793,7 @@
         ("room in one zone", room_for_a_gang_in_the_zone_that_has_enough),
         ("answers", answers_stay_under_their_limit),
     ];
-    for (n, (name, case)) in cases.iter().enumerate() {
-        eprintln!("case: {name}");
-        let mut w = World::new(n as u64, 4);
-        w.elect();
-        case(&mut w);
-        w.check(name);
-    }
+    run_table(cases);
 }
 
 /// Everything at once, by chance with fixed seeds: nothing breaks a rule, and
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -349,6 +349,19 @@
     waits: HashMap<String, Ms>,
 }
 
+pub type Case = (&'static str, fn(&mut World));
+
+/// Plays each case in a world of its own.
+pub fn run_table(cases: &[Case]) {
+    for (n, (name, case)) in cases.iter().enumerate() {
+        eprintln!("case: {name}");
+        let mut w = World::new(n as u64, 4);
+        w.elect();
+        case(&mut w);
+        w.check(name);
+    }
+}
+
 pub fn sub(id: &str, kind: &str, tasks: u32) -> Submission {
     Submission {
         name_id: Some(id.into()),
