--- a/src/node/tests/wiring.rs
+++ b/src/node/tests/wiring.rs
@@ -1,5 +1,8 @@
 use super::*;
-use crate::protocol::settings::tests::SAMPLE;
+use crate::protocol::{
+    settings::tests::SAMPLE,
+    store::{Changes, Page},
+};
 
 const SEED: &str = "[[seeds]]\nlabel = \"n-1\"\nendpoint = \"127.0.0.1:3\"\n[outside]";
 
@@ -60,3 +63,37 @@
         assert_eq!(n.boss(NOW), want, "case {i}");
     }
 }
+
+/// Guard: while all records are read anew, changes since the first page don't
+/// show what later pages hold: they are neither knowledge of cancellations nor
+/// a read for users.
+#[test]
+fn a_read_in_the_middle_of_reading_all_proves_nothing() {
+    let event_loop = EventLoop::try_new().unwrap();
+    let limits = Limits { sockets: 100, idle_ms: 1_000, head_ms: 1_000, stale_ms: 1_000 };
+    let mut net = Net::new(&event_loop, limits);
+    let mut n = Node::new(Settings::parse(SAMPLE, "x.toml").unwrap(), Operator::default(), &mut net);
+    let page = |truncated| Page { pairs: Vec::new(), truncated, epoch: 7 };
+    let changes = |status| {
+        let body = cbor::encode(&Changes { epoch: 9, events: Vec::new() });
+        Ok(Reply { status, body, close: false })
+    };
+    const NOW: Ms = 20_000;
+    // (what happens before, the answer to the read, whether it counts)
+    let cases = [("nothing", 200, false), ("one page", 200, false), ("all", 200, true), ("all", 503, false)];
+    for (i, (before, status, counts)) in cases.into_iter().enumerate() {
+        let mut fresh = Node::new(n.settings.clone(), Operator::default(), &mut net);
+        std::mem::swap(&mut n, &mut fresh);
+        match before {
+            "one page" => n.mirror.page(&page(true), true, &mut n.tables),
+            "all" => n.mirror.page(&page(false), true, &mut n.tables),
+            _ => {}
+        }
+        assert_eq!(n.apply_changes(NOW, &changes(status)), counts, "case {i}");
+        assert_eq!(n.keeper.may_renew(NOW + 10), counts, "case {i}");
+    }
+    // Too old a place to read on from: all is read anew, and until then nothing counts.
+    n.mirror.page(&page(false), true, &mut n.tables);
+    assert!(!n.apply_changes(NOW, &changes(410)) && !n.mirror.loaded());
+    assert!(!n.apply_changes(NOW, &changes(200)) && !n.keeper.may_renew(NOW + 10));
+}
