Failed tasks: a machine is judged by how its jobs fare on other machines

Cause: a machine on which two jobs failed within two minutes was retired, and one failure paused a machine for 5 s. With jobs that fail everywhere, healthy machines were shunned and handed back, and the job was tried again with all of its tasks. Change: a job that failed on two machines and ran well on none is at fault itself: its failures speak against no machine, it backs off by rounds, retries with one task, has nothing stopped or rented for it and is never overdue. A machine is retired once two jobs failed there that ran well elsewhere. Tests: 'jobs that fail everywhere' and 'faulty machine' both fail with the sources before.

--- a/src/coordination/leader/assignments.rs
+++ b/src/coordination/leader/assignments.rs
@@ -130,6 +130,7 @@
             TaskFate::Done => {
                 job.slots[task as usize] = Slot::Done;
                 job.done += 1;
+                job.failures.job_is_sound = true;
             }
             TaskFate::Unfinished => {
                 job.slots[task as usize] = Slot::Pending;
--- a/src/coordination/leader/exits.rs
+++ b/src/coordination/leader/exits.rs
@@ -2,30 +2,13 @@
 
 use super::{Leader, TaskFate};
 use crate::{
-    bookkeeping::job_cache::JobIx,
-    coordination::model::{Assignment, AssignmentIx, ExitRecord, MachineIx, Ms, TaskFailure, UnreapedExit},
+    coordination::model::{Assignment, AssignmentIx, ExitRecord, Ms, UnreapedExit},
     protocol::workers::{ExitReason, TaskReport},
 };
 
 /// How long a machine that refused a start gets no new tasks, and a job whose
 /// task its worker did not know.
 const REFUSED_START_PAUSE_MS: Ms = 3_000;
-/// How long a machine on which a task failed gets no new tasks.
-const FAILURE_PAUSE_MS: Ms = 5_000;
-/// How long a failure is remembered at its machine.
-const FAILURE_MEMORY_MS: Ms = 120_000;
-/// Jobs that failed on one machine lately after which it counts as faulty.
-const FAULTY_MACHINE_JOBS: usize = 2;
-/// Machines on which a job failed after which the fault is taken for its own.
-const FAULTY_JOB_MACHINES: u32 = 3;
-/// Pause of a job after a failure that is taken for its machine's.
-const RETRY_PAUSE_MS: Ms = 300;
-/// First pause of a job that is at fault itself; doubled with each failure...
-const BACKOFF_MS: Ms = 2_000;
-/// ...up to this many times.
-const BACKOFF_DOUBLINGS: u32 = 5;
-/// Failures beyond which a job's pause grows no more.
-const BACKOFF_FAILURES_MAX: u32 = 9;
 
 impl Leader {
     /// A task has ended. Its assignment is released unless a command sent
@@ -94,33 +77,11 @@
                     job.stop_count += 1;
                 }
             }
-            ExitReason::Error => self.task_failed(now, machine_ix, job_ix, task),
+            ExitReason::Error => self.task_failed(now, assignment, task),
             _ => {}
         }
     }
 
-    /// A failed task speaks against its machine first, then against its job.
-    fn task_failed(&mut self, now: Ms, machine_ix: MachineIx, job_ix: JobIx, task: &str) {
-        tracing::info!(task, machine = &*self.machine(machine_ix).id, "failed");
-        if let Some(job) = self.job_mut(job_ix) {
-            job.failure_count += 1;
-            if !job.failed_on.contains(&machine_ix) {
-                job.failed_on.push(machine_ix);
-            }
-            let pause_ms = failure_pause_ms(job.failure_count, job.failed_on.len() as u32);
-            job.not_before = now + pause_ms;
-        }
-        let machine = &mut self.machines[machine_ix.at()];
-        machine.recent_failures.retain(|failure| failure.job != job_ix && now - failure.at < FAILURE_MEMORY_MS);
-        machine.recent_failures.push(TaskFailure { job: job_ix, at: now });
-        machine.avoid_until = machine.avoid_until.max(now + FAILURE_PAUSE_MS);
-        // Several jobs failed here, and not elsewhere: the machine is faulty.
-        if machine.recent_failures.len() >= FAULTY_MACHINE_JOBS && !machine.retiring {
-            machine.retiring = true;
-            tracing::warn!(machine = &*machine.id, "several jobs failed here: retired");
-        }
-    }
-
     /// The run time of a task that was not stopped corrects its class's estimates.
     fn observe_run_time(&mut self, now: Ms, assignment: &Assignment) {
         let Some(running_since) = assignment.running_since else { return };
@@ -133,12 +94,3 @@
         }
     }
 }
-
-/// How long a job waits after one of its tasks failed.
-fn failure_pause_ms(failures: u32, failed_machines: u32) -> Ms {
-    if failed_machines < FAULTY_JOB_MACHINES {
-        return RETRY_PAUSE_MS;
-    }
-    let doublings = (failures.min(BACKOFF_FAILURES_MAX) - FAULTY_JOB_MACHINES).min(BACKOFF_DOUBLINGS);
-    BACKOFF_MS << doublings
-}
--- a/src/coordination/leader/jobs.rs
+++ b/src/coordination/leader/jobs.rs
@@ -8,7 +8,9 @@
         job_cache::{JobCache, JobIx},
         records::{self, Status},
     },
-    coordination::model::{AssignmentIx, Chunk, ExitRecord, Halt, Job, JobProgress, Ms, Slot, UnreapedExit},
+    coordination::model::{
+        AssignmentIx, Chunk, ExitRecord, Halt, Job, JobFailures, JobProgress, Ms, Slot, UnreapedExit,
+    },
     protocol::{jobs::JobSpec, peers::Count},
 };
 
@@ -116,8 +118,7 @@
             unwritten_since: None,
             ever_assigned: false,
             has_counted_start: false,
-            failure_count: 0,
-            failed_on: Vec::new(),
+            failures: JobFailures::default(),
             published: JobProgress::default(),
             next_eviction: 0,
             zone_used: Vec::new(),
@@ -173,6 +174,7 @@
     }
 
     pub(super) fn finish(&mut self, ix: JobIx) {
+        self.blame_machines_of(ix);
         if let Some(job) = self.job_mut(ix) {
             job.status = Status::Done;
         }
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -15,6 +15,7 @@
 mod direct_calls;
 mod effects;
 mod exits;
+mod failures;
 mod gpu_demand;
 mod jobs;
 mod leases;
@@ -116,6 +117,8 @@
     /// The time in which no other controller renewed any lease.
     pub no_peer_renewals: TimeSpan,
     next_summary: Ms,
+    /// Failed tasks are judged no earlier.
+    next_judgement: Ms,
     /// GPU work seen lately.
     pub gpu_demand: GpuDemand,
     /// Observed run times against their owners' estimates.
@@ -165,6 +168,7 @@
             next_sweep: now,
             no_peer_renewals: TimeSpan::ALWAYS,
             next_summary: now + sweep::SUMMARY_MS,
+            next_judgement: now,
             gpu_demand: GpuDemand::default(),
             run_times: RunTimeEstimates::default(),
             cfg,
--- a/src/coordination/leader/sweep.rs
+++ b/src/coordination/leader/sweep.rs
@@ -28,6 +28,7 @@
             self.note_idle(now, ix);
             self.refresh(now, ix);
         }
+        self.judge_failures(now);
         if now >= self.next_summary {
             self.next_summary = now + SUMMARY_MS;
             self.log_summary();
--- /dev/null
+++ b/src/coordination/model/failures.rs
@@ -0,0 +1,47 @@
+//! What a job's failed tasks say of the job itself.
+
+use super::{MachineIx, Ms};
+
+/// Machines on which a job failed, and ran well nowhere, after which the fault
+/// is taken for its own.
+const MACHINES_TO_BLAME_JOB: usize = 2;
+
+/// The failures of one job's tasks.
+#[derive(Debug, Default)]
+pub struct JobFailures {
+    /// Machines on which its tasks failed.
+    pub machines: Vec<MachineIx>,
+    /// Rounds of attempts that ended in failures.
+    pub rounds: u32,
+    /// The longest that a task ran before it failed.
+    pub longest_run_ms: Ms,
+    /// A task of the job completed, or outlasted those that failed.
+    pub job_is_sound: bool,
+    /// The latest attempt when the current round was counted.
+    round_attempt: u64,
+}
+
+impl JobFailures {
+    /// A task that ran for `ran_ms` failed. `attempt`: its attempt;
+    /// `last_attempt`: the latest one of any job.
+    pub fn record(&mut self, machine: MachineIx, ran_ms: Ms, attempt: u64, last_attempt: u64) {
+        if !self.machines.contains(&machine) {
+            self.machines.push(machine);
+        }
+        self.longest_run_ms = self.longest_run_ms.max(ran_ms);
+        if attempt > self.round_attempt {
+            self.rounds += 1;
+            self.round_attempt = last_attempt;
+        }
+    }
+
+    /// It fails on every machine, as far as is known.
+    pub fn job_is_at_fault(&self) -> bool {
+        !self.job_is_sound && self.machines.len() >= MACHINES_TO_BLAME_JOB
+    }
+
+    /// Its tasks failed, and it is not known whether others would run well.
+    pub fn are_unexplained(&self) -> bool {
+        !self.job_is_sound && !self.machines.is_empty()
+    }
+}
--- a/src/coordination/model/job.rs
+++ b/src/coordination/model/job.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use super::{AssignmentIx, MachineIx, Ms};
+use super::{AssignmentIx, JobFailures, Ms};
 use crate::{
     bookkeeping::{
         job_cache::JobIx,
@@ -106,9 +106,7 @@
     /// At least one of its tasks was assigned before.
     pub ever_assigned: bool,
     /// Failures of its tasks so far.
-    pub failure_count: u32,
-    /// Machines on which its tasks failed.
-    pub failed_on: Vec<MachineIx>,
+    pub failures: JobFailures,
     /// The progress last published to the other controllers.
     pub published: JobProgress,
     /// No tasks are stopped for it before.
--- a/src/coordination/model/machine.rs
+++ b/src/coordination/model/machine.rs
@@ -32,6 +32,8 @@
     pub job: JobIx,
     /// When the leader heard of the failure.
     pub at: Ms,
+    /// The job ran well elsewhere, so the machine is to blame.
+    pub job_is_sound: bool,
 }
 
 /// One machine, rented or inherited from an earlier leader.
--- a/src/coordination/model/mod.rs
+++ b/src/coordination/model/mod.rs
@@ -2,6 +2,7 @@
 //! assignments of tasks to machines.
 
 mod assignment;
+mod failures;
 mod index;
 mod job;
 mod machine;
@@ -11,6 +12,7 @@
 
 pub use self::{
     assignment::{Assignment, AssignmentState, DirectCall, ExitRecord, Halt, LaunchId, UnreapedExit},
+    failures::JobFailures,
     index::{AssignmentIx, MachineIx},
     job::{Chunk, Job, JobProgress, Slot},
     machine::{Machine, MachineLifecycle, TaskFailure},
--- a/src/coordination/pass/mod.rs
+++ b/src/coordination/pass/mod.rs
@@ -31,6 +31,8 @@
 /// An array that is overdue begins with this part of its tasks: it is to begin,
 /// not to go before all others as a whole.
 const OVERDUE_ARRAY_DIVISOR: u32 = 16;
+/// Tasks with which a job that fails everywhere is tried again.
+const TASKS_PER_RETRY: usize = 1;
 /// After failures on this many machines, they aren't the reason.
 const FAILED_MACHINES_MAX: usize = 4;
 
@@ -134,7 +136,10 @@
             }
             return;
         }
-        state.unmet.push(UnmetDemand { job: ix, tasks: (placement.tasks.len() - placed) as u32 });
+        let is_at_fault = self.job(ix).is_some_and(|job| job.failures.job_is_at_fault());
+        if !is_at_fault {
+            state.unmet.push(UnmetDemand { job: ix, tasks: (placement.tasks.len() - placed) as u32 });
+        }
         let reservations = self.snapshot.reservations();
         self.make_room(now, ix, &placement.tasks[placed..], &mut state.hopeless);
         let may_gather = placement.spec.kind == Kind::Gang
@@ -156,6 +161,9 @@
         if is_due && spec.kind == Kind::Array {
             limit = limit.min((spec.tasks / OVERDUE_ARRAY_DIVISOR).max(1) as usize);
         }
+        if !is_gang && job.failures.job_is_at_fault() {
+            limit = limit.min(TASKS_PER_RETRY);
+        }
         if limit == 0 || (is_gang && limit < job.pending.len()) {
             tracing::debug!(job = &*job.id, room, "at its team's limit");
             return Vec::new();
@@ -241,10 +249,11 @@
     /// everywhere, the machines aren't the reason.
     fn avoided_machines(&self, job: &Job) -> Vec<MachineIx> {
         let up = self.machines.iter().filter(|machine| machine.lifecycle == MachineLifecycle::Up).count();
-        if job.failed_on.len() >= FAILED_MACHINES_MAX || job.failed_on.len() * 2 >= up {
+        let failed_on = &job.failures.machines;
+        if failed_on.len() >= FAILED_MACHINES_MAX || failed_on.len() * 2 >= up {
             return Vec::new();
         }
-        job.failed_on.clone()
+        failed_on.clone()
     }
 }
 
--- a/src/coordination/pass/order.rs
+++ b/src/coordination/pass/order.rs
@@ -161,9 +161,10 @@
     has_work && !is_held_back && !is_partly_placed_gang
 }
 
-/// Nothing of it has started for good, and by now it should have.
+/// Nothing of it has started for good, and by now it should have. Guard: a job
+/// that fails everywhere would go before all others for as long as it is wanted.
 pub fn is_overdue(now: Ms, job: &Job) -> bool {
-    !job.has_counted_start && job.age_s(now) >= OVERDUE_S
+    !job.has_counted_start && job.age_s(now) >= OVERDUE_S && !job.failures.job_is_at_fault()
 }
 
 /// It is overdue and none of its tasks is even assigned.
--- a/src/coordination/pass/room.rs
+++ b/src/coordination/pass/room.rs
@@ -98,6 +98,10 @@
 
 /// Whether other work may be stopped for this job by now.
 fn may_make_room(now: Ms, job: &Job) -> bool {
+    // Guard: what fails everywhere would have others stopped again and again.
+    if job.failures.job_is_at_fault() {
+        return false;
+    }
     if job.within_guarantee {
         return true;
     }
--- a/tests/safety_rules/main.rs
+++ b/tests/safety_rules/main.rs
@@ -2,6 +2,7 @@
 //! crashes something, and the invariants of `simulation` are checked at every step.
 
 mod cancellations;
+mod failing_jobs;
 mod large_jobs;
 mod launches;
 mod placement;
@@ -16,6 +17,7 @@
 mod worker_leases;
 
 use cancellations::*;
+use failing_jobs::*;
 use large_jobs::*;
 use launches::*;
 use placement::*;
@@ -67,6 +69,8 @@
         ("many hang", many_machines_hang),
         ("room in one zone", room_for_a_gang_in_the_zone_that_has_enough),
         ("answers", answers_stay_under_their_limit),
+        ("jobs that fail everywhere", jobs_that_fail_everywhere),
+        ("faulty machine", a_machine_that_is_faulty),
     ];
     run_table(cases);
 }
--- a/tests/simulation/cloud.rs
+++ b/tests/simulation/cloud.rs
@@ -36,6 +36,7 @@
             answers_lost: false,
             outbound_lost: false,
             inbound_lost: false,
+            fails_after: None,
             token_shown: None,
         });
         id
--- a/tests/simulation/users.rs
+++ b/tests/simulation/users.rs
@@ -18,6 +18,8 @@
     pub sub: Submission,
     pub cancelled_at: Option<Ms>,
     pub run_ms: Ms,
+    /// Submitted with a mistake: its tasks fail after running for this long.
+    pub fails_after: Option<Ms>,
 }
 
 pub fn submission(id: &str, kind: &str, tasks: u32) -> Submission {
@@ -57,7 +59,14 @@
             writes: vec![Op::Put { key: records::job_key(&id), v: records::to_value(&rec), permit: None }],
         };
         self.store.apply(&txn).unwrap();
-        self.jobs.insert(id, JobFacts { sub, cancelled_at: None, run_ms });
+        self.jobs.insert(id, JobFacts { sub, cancelled_at: None, run_ms, fails_after: None });
+    }
+
+    /// A job that was submitted with a mistake: it fails on every machine.
+    pub fn submit_failing(&mut self, sub: Submission, fails_after: Ms) {
+        let id = sub.name_id.clone().unwrap();
+        self.submit(sub, 0);
+        self.jobs.get_mut(&id).unwrap().fails_after = Some(fails_after);
     }
 
     /// A submission at one of the controllers: false when it is over its budget.
--- a/tests/simulation/worker.rs
+++ b/tests/simulation/worker.rs
@@ -57,6 +57,8 @@
     pub outbound_lost: bool,
     /// Its reports come through, but nothing reaches it.
     pub inbound_lost: bool,
+    /// Every task fails here after running for so long.
+    pub fails_after: Option<Ms>,
     /// A higher token counts as a change once in half a lease.
     pub(super) token_shown: Option<Ms>,
 }
@@ -119,6 +121,7 @@
         for t in 0..self.workers[n].tasks.len() {
             let task = self.workers[n].tasks[t].clone();
             let Some(run) = self.facts(&task.name).map(|f| f.run_ms) else { continue };
+            let fails_after = self.facts(&task.name).and_then(|f| f.fails_after).or(self.workers[n].fails_after);
             let gang = self.facts(&task.name).is_some_and(|f| f.sub.kind.as_deref() == Some("ensemble"));
             let waits = self.gang_semantics && gang && !self.completed.contains(&task.name);
             let longer = split_task(&task.name).map_or(0, |(_, n)| Ms::from(n % 16) * self.run_ms_step);
@@ -136,6 +139,9 @@
                 TaskState::Running if waits && self.has_lost_peer(&task) => {
                     (TaskState::Exited, Some(ExitReason::Peers))
                 }
+                TaskState::Running if fails_after.is_some_and(|ms| now >= task.since + ms) => {
+                    (TaskState::Exited, Some(ExitReason::Error))
+                }
                 TaskState::Running if run > 0 && now >= task.since + run + longer => {
                     self.completed.insert(task.name.clone());
                     (TaskState::Exited, Some(ExitReason::Done))
