Teams without a guarantee get what others leave; a leader hardly any worker reaches resigns

(2) Delayed copies of reports, or one worker of many, kept a leader in office that was cut from the rest. (3) Beyond 10,000 rejected reports the count began at nothing (4,000 machines reach that). Tests: 'team without a guarantee', 'leader that hardly any worker reaches', budget table, a_flood_of_rejected_reports_still_counts.

--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -7,6 +7,9 @@
 const COMMIT_FLOOR: f64 = 0.1;
 /// Share of the burst that submissions must leave to more urgent work.
 const SUBMIT_FLOOR: f64 = 0.2;
+/// Share of the burst that submissions of teams without a guarantee must leave
+/// to those of teams that have one.
+const UNGUARANTEED_SUBMIT_FLOOR: f64 = 0.6;
 /// Share of a service's limit that is distributed; the rest covers what the
 /// service counts differently.
 const DISTRIBUTED_SHARE: f64 = 0.95;
@@ -34,6 +37,8 @@
     Commit,
     /// Submissions and everything else.
     Submit,
+    /// Submissions of teams without a guarantee, where other teams have one.
+    UnguaranteedSubmit,
 }
 
 impl Urgency {
@@ -44,6 +49,7 @@
             Urgency::Cancel => 0.0,
             Urgency::Commit => COMMIT_FLOOR,
             Urgency::Submit => SUBMIT_FLOOR,
+            Urgency::UnguaranteedSubmit => UNGUARANTEED_SUBMIT_FLOOR,
         }
     }
 }
--- a/src/bookkeeping/tests/budget.rs
+++ b/src/bookkeeping/tests/budget.rs
@@ -20,6 +20,12 @@
     for (i, (at, n, u, want)) in cases.into_iter().enumerate() {
         assert_eq!(b.take(at, n, u).is_ok(), want, "case {i}");
     }
+    // Guard: a swarm of submissions of a team without a guarantee had those of
+    // the other teams refused.
+    let mut b = Budget::new(10.0, 10.0);
+    let taken = (0..20).filter(|_| b.take(0, 1.0, Urgency::UnguaranteedSubmit).is_ok()).count();
+    assert_eq!(taken, 4);
+    assert!((0..4).all(|_| b.take(0, 1.0, Urgency::Submit).is_ok()), "the rest is left to the others");
     let mut b = Budget::new(10.0, 10.0);
     b.refused(0);
     assert_eq!(b.take(0, 1.0, Urgency::Cancel), Err(100));
--- a/src/coordination/fleet/offers.rs
+++ b/src/coordination/fleet/offers.rs
@@ -16,6 +16,13 @@
 /// twice as dear.
 const READY_DOUBLES_COST_S: f64 = 120.0;
 
+/// Growth of the price tolerance with each second that work waits.
+const TOLERANCE_PER_S: f64 = 1.0;
+/// The same for work of teams without a guarantee...
+const UNGUARANTEED_TOLERANCE_PER_S: f64 = 1.0 / 60.0;
+/// ...up to this: about what on-demand machines cost more than spot ones.
+const UNGUARANTEED_TOLERANCE_MAX: f64 = 4.0;
+
 /// A kind of machine that can be rented.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(super) struct Offer {
@@ -49,6 +56,8 @@
     pub tasks: u32,
     /// How long the job has waited for room.
     pub waited_s: f64,
+    /// Nothing is guaranteed to the job's team.
+    pub without_guarantee: bool,
 }
 
 /// The offer chosen for some work.
@@ -81,7 +90,7 @@
         // Much dearer than the cheapest offer: only for urgent work, or work
         // that has waited.
         let best = best?;
-        let is_affordable = best.cost <= cheapest * (price_tolerance(demand.spec.priority) + demand.waited_s);
+        let is_affordable = best.cost <= cheapest * price_tolerance(demand);
         is_affordable.then_some(best)
     }
 
@@ -110,9 +119,21 @@
     }
 }
 
-/// How many times dearer than the cheapest offer one may be for work of this
-/// priority; the tolerance grows by one with each second that the work waits.
-fn price_tolerance(priority: Priority) -> f64 {
+/// How many times dearer than the cheapest offer one may be for this work.
+///
+/// Guard: work of a team without a guarantee bought every machine there was, of
+/// the dearest types too, once it had waited for a while.
+fn price_tolerance(demand: &RentalDemand<'_>) -> f64 {
+    let base = base_price_tolerance(demand.spec.priority);
+    if demand.without_guarantee {
+        let grown = base + demand.waited_s * UNGUARANTEED_TOLERANCE_PER_S;
+        return grown.min(UNGUARANTEED_TOLERANCE_MAX);
+    }
+    base + demand.waited_s * TOLERANCE_PER_S
+}
+
+/// The same for work of this priority that has not waited yet.
+fn base_price_tolerance(priority: Priority) -> f64 {
     match priority {
         Priority::Production => 5.0,
         Priority::High => 3.0,
--- a/src/coordination/fleet/renting.rs
+++ b/src/coordination/fleet/renting.rs
@@ -144,6 +144,7 @@
         let Some(job) = self.job(unmet.job) else { return };
         let (spec, zone_used) = (&*job.spec, &*job.zone_used);
         let need = Res::of(spec);
+        let without_guarantee = self.is_without_guarantee(spec.team);
         let alike = plan.unmet_by_class.get(&spec.class).copied().unwrap_or(0);
         for zone_demand in self.demand_by_zone(spec, zone_used, unmet.tasks, &plan.arrivals) {
             let zone = zone_demand.zone;
@@ -157,7 +158,7 @@
                 }
                 let tasks = alike.max(left);
                 let waited_s = job.waited_ms(now) as f64 / 1000.0;
-                let demand = RentalDemand { spec, zone, zone_used, tasks, waited_s };
+                let demand = RentalDemand { spec, zone, zone_used, tasks, waited_s, without_guarantee };
                 let Some(chosen) = self.choose_offer(now, &demand) else { break };
                 let allowed = (self.cfg.max_machines - plan.total_machines) as u32;
                 let count = left.div_ceil(chosen.tasks_per_machine).min(MACHINES_PER_CALL).min(allowed);
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -22,6 +22,7 @@
 mod loading;
 mod machines;
 mod pipeline;
+mod reach;
 mod reports;
 mod resharding;
 mod run_times;
--- a/src/coordination/model/team.rs
+++ b/src/coordination/model/team.rs
@@ -17,6 +17,11 @@
 }
 
 impl TeamLimits {
+    /// Whether any amount is guaranteed to the team.
+    pub fn has_guarantee(&self) -> bool {
+        self.cpus.is_some() || self.gpus.is_some()
+    }
+
     /// How many more tasks of this kind the limit allows on top of `used`.
     pub fn room_for(&self, spec: &JobSpec, used: &Res) -> u32 {
         let tasks_within = |limit: Option<f64>, used: f64, need: f64| match limit {
--- a/src/coordination/pass/mod.rs
+++ b/src/coordination/pass/mod.rs
@@ -77,6 +77,11 @@
         self.cfg.teams.get(team.at()).copied().unwrap_or_default()
     }
 
+    /// Whether nothing is guaranteed to a team, while something is to others.
+    pub(super) fn is_without_guarantee(&self, team: TeamIx) -> bool {
+        !self.team_limits(team).has_guarantee() && self.cfg.teams.iter().any(TeamLimits::has_guarantee)
+    }
+
     /// What a team's assignments use.
     pub(super) fn used_by_team(&self, team: TeamIx) -> Res {
         self.team_used.get(team.at()).copied().unwrap_or_default()
--- a/src/coordination/pass/order.rs
+++ b/src/coordination/pass/order.rs
@@ -43,6 +43,15 @@
     Low,
 }
 
+/// How a job stands to its team's guarantee; within a tier, the earlier goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    WithinGuarantee,
+    BeyondGuarantee,
+    /// Nothing is guaranteed to its team: it gets what the others leave.
+    NoGuarantee,
+}
+
 /// A job's position among those of its tier: the smaller goes first.
 #[derive(Debug, Clone, Copy)]
 struct Turn {
@@ -55,7 +64,7 @@
 /// A job's position in the order of a pass.
 struct Rank {
     tier: Tier,
-    beyond_guarantee: bool,
+    standing: Standing,
     turn: Turn,
     job: JobIx,
 }
@@ -64,7 +73,7 @@
     fn compare(&self, other: &Rank) -> Ordering {
         self.tier
             .cmp(&other.tier)
-            .then(self.beyond_guarantee.cmp(&other.beyond_guarantee))
+            .then(self.standing.cmp(&other.standing))
             .then(self.turn.missed_aims.cmp(&other.turn.missed_aims))
             .then(self.turn.cost.total_cmp(&other.turn.cost))
             .then(self.job.cmp(&other.job))
@@ -112,13 +121,23 @@
             Priority::Low => Tier::Low,
         };
         if tier != Tier::Overdue {
-            return Rank { tier, beyond_guarantee: !job.within_guarantee, turn: self.turn(now, job), job: job.ix };
+            return Rank { tier, standing: self.standing(job), turn: self.turn(now, job), job: job.ix };
         }
         // Guard: when more is overdue than there is room for, the largest of a
         // class, hardest to find room for, would come too late.
         let share_of_largest = f64::from(job.spec.tasks) / f64::from(largest_of_class.max(1));
         let cost = -job.age_s(now) - LARGEST_BONUS_S * share_of_largest;
-        Rank { tier, beyond_guarantee: false, turn: Turn { missed_aims: 0, cost }, job: job.ix }
+        Rank { tier, standing: Standing::WithinGuarantee, turn: Turn { missed_aims: 0, cost }, job: job.ix }
+    }
+
+    fn standing(&self, job: &Job) -> Standing {
+        if job.within_guarantee {
+            Standing::WithinGuarantee
+        } else if self.is_without_guarantee(job.spec.team) {
+            Standing::NoGuarantee
+        } else {
+            Standing::BeyondGuarantee
+        }
     }
 
     /// Among equals, jobs whose aim can still be met come before those that have
--- a/src/node/gossip.rs
+++ b/src/node/gossip.rs
@@ -18,7 +18,8 @@
 const MAX_REPEATED_NOTICES: usize = 256;
 /// For how long, in ms, a rejected report is counted.
 const REJECTED_REPORT_MS: Ms = 4_000;
-/// Most rejected reports that are remembered; far above what means trouble.
+/// Most rejected reports that are remembered, the latest ones. Far above what
+/// means trouble, so that the count stays high however many machines there are.
 const MAX_REJECTED_REPORTS: usize = 10_000;
 /// Most jobs per frame whose task counts are told, which bounds its size.
 const MAX_COUNTS: usize = 500;
@@ -36,7 +37,7 @@
     next_at: Ms,
     frames_sent: u64,
     /// When workers' reports were rejected lately.
-    rejected_reports: Vec<Ms>,
+    rejected_reports: VecDeque<Ms>,
     /// Cancellations confirmed here lately, oldest first.
     cancellations: VecDeque<ConfirmedCancellation>,
 }
@@ -44,12 +45,18 @@
 impl GossipState {
     /// A worker's report was rejected.
     pub fn record_rejected_report(&mut self, now: Ms) {
-        self.rejected_reports.push(now);
+        self.rejected_reports.push_back(now);
         if self.rejected_reports.len() > MAX_REJECTED_REPORTS {
-            self.rejected_reports.clear();
+            self.rejected_reports.pop_front();
         }
     }
 
+    /// Reports that were rejected in the last seconds.
+    fn rejected_lately(&mut self, now: Ms) -> u32 {
+        self.rejected_reports.retain(|&rejected_at| now < rejected_at + REJECTED_REPORT_MS);
+        self.rejected_reports.len() as u32
+    }
+
     fn record_cancellation(&mut self, now: Ms, cancelled: Cancelled) {
         self.cancellations.push_back(ConfirmedCancellation { confirmed_at: now, cancelled });
         if self.cancellations.len() > MAX_REPEATED_NOTICES {
@@ -115,7 +122,7 @@
     }
 
     fn current_gossip(&mut self, now: Ms, leading: bool) -> Gossip {
-        self.gossip.rejected_reports.retain(|&rejected_at| now < rejected_at + REJECTED_REPORT_MS);
+        let rejected_reports = self.gossip.rejected_lately(now);
         let counts = match &mut self.leader {
             Some(leader) if leading => leader.take_counts(MAX_COUNTS),
             _ => Vec::new(),
@@ -128,7 +135,7 @@
             nonce: self.nonce,
             count: self.gossip.frames_sent,
             state_age_ms: self.state_health.age(now),
-            rejected_reports: self.gossip.rejected_reports.len() as u32,
+            rejected_reports,
             leading,
             reads_used: self.budgets.reads.used(now),
             writes_used: self.budgets.writes.used(now),
@@ -151,3 +158,7 @@
         heard.chain([Gossip::reads_mark()]).collect()
     }
 }
+
+#[cfg(test)]
+#[path = "tests/gossip.rs"]
+mod tests;
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -18,7 +18,7 @@
 const MAX_PASS_GAP_MS: Ms = 1_000;
 /// Writes are scarce while less than this share of their burst is available.
 const SCARCE_WRITES: f64 = 0.4;
-/// A leader that no worker has reached for this long, in ms, may resign.
+/// A leader that hardly any worker has reached for this long, in ms, may resign.
 const UNREACHED_MS: Ms = 8_000;
 /// What a peer says of rejected reports counts for this long, in ms.
 const PEER_REPORTS_MS: Ms = 2_000;
@@ -109,14 +109,14 @@
             tracing::info!("a worker's tokens are spent: a new leadership begins");
             return self.resign(net, now);
         }
-        let unreached = now > leader.heard_any + UNREACHED_MS && now > leader.started + UNREACHED_MS;
+        let unreached = now > leader.started + UNREACHED_MS && leader.is_unreached(now, UNREACHED_MS);
         let reach_others = self
             .peers
             .list
             .iter()
             .any(|peer| peer.heard_within(now, PEER_REPORTS_MS) && peer.rejected_reports >= MIN_REJECTED_REPORTS);
         if unreached && reach_others {
-            tracing::warn!("no worker reaches this controller, others they do: giving way");
+            tracing::warn!("hardly a worker reaches this controller, others they do: giving way");
             self.resign(net, now);
         }
     }
--- a/src/node/users/submit.rs
+++ b/src/node/users/submit.rs
@@ -151,11 +151,22 @@
     ) {
         let mut conditions = vec![Condition { key: records::job_key(&id), stamp: 0 }];
         conditions.extend(prereqs_unchanged);
-        let write =
-            RecordWrite { conn, urgency: Urgency::Submit, conditions, id: id.clone(), record: (*record).clone() };
+        let urgency = self.submission_urgency(&record);
+        let write = RecordWrite { conn, urgency, conditions, id: id.clone(), record: (*record).clone() };
         self.write_record(net, write, Pending::Submit { conn, id, record, tries });
     }
 
+    /// Guard: a team to which nothing is guaranteed must not push out the
+    /// submissions of the others.
+    fn submission_urgency(&self, record: &JobRecord) -> Urgency {
+        let team = record.submission.team.as_deref().unwrap_or_default();
+        if self.settings.cluster.is_without_guarantee(team) {
+            Urgency::UnguaranteedSubmit
+        } else {
+            Urgency::Submit
+        }
+    }
+
     fn prereqs(&self, record: &JobRecord) -> Prereqs {
         // One condition is for the job's own key. Records of jobs are never
         // removed, so those beyond the limit need none.
--- a/src/protocol/settings.rs
+++ b/src/protocol/settings.rs
@@ -93,6 +93,21 @@
     pub gpus_max: f64,
 }
 
+impl Team {
+    /// Whether any amount is guaranteed to the team.
+    pub fn has_guarantee(&self) -> bool {
+        self.cpus > 0.0 || self.gpus > 0.0
+    }
+}
+
+impl Cluster {
+    /// Whether nothing is guaranteed to this team, while something is to another.
+    pub fn is_without_guarantee(&self, team: &str) -> bool {
+        let mut guaranteed = self.teams.iter().filter(|known| known.has_guarantee()).peekable();
+        guaranteed.peek().is_some() && !guaranteed.any(|known| known.name == team)
+    }
+}
+
 /// What a service objective measures.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/tests/combined_failures/leader_changes.rs
+++ b/tests/combined_failures/leader_changes.rs
@@ -1,6 +1,8 @@
 //! Leaders that change while something else fails.
 
-use crate::simulation::{submission, FaultRates, Simulation, LEASE};
+use shedhook::coordination::model::Ms;
+
+use crate::simulation::{submission, FaultRates, Held, Simulation, LEASE, REPORT};
 
 /// Guard: to a new leader, a place it read from the records is taken for a
 /// whole lease from its own start, heard or not. One machine can't be reached,
@@ -134,3 +136,35 @@
     sim.run_until_settled("within the limit again", 90_000);
     assert!(sim.all_running("j-3", 2));
 }
+
+/// Guard: delayed copies of old reports, and a worker or two that still get
+/// through, kept a leader in office that all others could not reach, until
+/// their leases had run out.
+pub fn a_leader_that_hardly_any_worker_reaches(sim: &mut Simulation) {
+    const UNREACHED: Ms = 8_000;
+    for zone in ["a", "b", "a", "b", "a", "b", "a", "b"] {
+        sim.add_worker(zone);
+    }
+    sim.submit(submission("j-1", "batch", 6), 5_000);
+    sim.run(LEASE);
+    let is_unreached = |sim: &Simulation| sim.leader.as_ref().unwrap().is_unreached(sim.now, UNREACHED);
+    assert!(!is_unreached(sim), "all are heard");
+    let copies = sim.latest_reports();
+    sim.run(REPORT);
+    let cut_workers = sim.workers.len() - 1;
+    sim.workers[..4].iter_mut().for_each(|worker| worker.partitioned = true);
+    sim.run(UNREACHED + 4_000);
+    assert!(!is_unreached(sim), "most are heard");
+    sim.workers[..cut_workers].iter_mut().for_each(|worker| worker.partitioned = true);
+    for _ in 0..6 {
+        sim.run(2_000);
+        let arrive_now = copies.iter().map(|copy| (sim.now, Held::Report(copy.clone())));
+        sim.delayed.extend(arrive_now);
+    }
+    assert!(is_unreached(sim), "copies of old reports count as workers that were heard");
+    sim.elect();
+    assert!(!is_unreached(sim), "a new leader gives them time to report");
+    sim.workers.iter_mut().for_each(|worker| worker.partitioned = false);
+    sim.run(UNREACHED + 4_000);
+    assert!(!is_unreached(sim), "all are heard again");
+}
--- a/tests/combined_failures/main.rs
+++ b/tests/combined_failures/main.rs
@@ -42,6 +42,7 @@
         ("team at its limit, leader changes", a_team_at_its_limit_when_the_leader_changes),
         ("cancelled unseen, commands queued", cancelled_unseen_with_commands_queued),
         ("end of an earlier attempt", an_end_of_an_earlier_attempt),
+        ("leader that hardly any worker reaches", a_leader_that_hardly_any_worker_reaches),
     ];
     // All cases are played, and every one that fails is named.
     let mut failed = Vec::new();
--- a/tests/safety_rules/main.rs
+++ b/tests/safety_rules/main.rs
@@ -13,6 +13,7 @@
 #[path = "../simulation/mod.rs"]
 mod simulation;
 mod transactions;
+mod unguaranteed_teams;
 mod unreachable_machines;
 mod worker_leases;
 
@@ -25,6 +26,7 @@
 use reports::*;
 use simulation::{run_table, Case};
 use transactions::*;
+use unguaranteed_teams::*;
 use unreachable_machines::*;
 use worker_leases::*;
 
@@ -71,6 +73,7 @@
         ("answers", answers_stay_under_their_limit),
         ("jobs that fail everywhere", jobs_that_fail_everywhere),
         ("faulty machine", a_machine_that_is_faulty),
+        ("team without a guarantee", a_team_without_a_guarantee),
     ];
     run_table(cases);
 }
--- a/tests/simulation/cloud.rs
+++ b/tests/simulation/cloud.rs
@@ -66,11 +66,15 @@
         if let Some(same) = self.rentals.get(&req.request) {
             return Some(same.clone());
         }
-        let n = req.count.min(self.capacity);
+        let kind_capacity = if req.spot { self.spot_capacity } else { u32::MAX };
+        let n = req.count.min(self.capacity).min(kind_capacity);
         if n == 0 {
             return None;
         }
         self.capacity -= n;
+        if req.spot {
+            self.spot_capacity -= n;
+        }
         let ids: Vec<String> = (0..n).map(|_| self.add_worker(&req.zone)).collect();
         for w in self.workers.iter_mut().filter(|w| ids.contains(&w.id)) {
             w.spot = req.spot;
--- a/tests/simulation/controller.rs
+++ b/tests/simulation/controller.rs
@@ -28,6 +28,12 @@
 }
 
 impl Simulation {
+    fn team_limits(&self) -> Vec<TeamLimits> {
+        let guaranteed = (self.red_gpus_guaranteed > 0.0).then_some(self.red_gpus_guaranteed);
+        let red = TeamLimits { gpus: guaranteed, ..gpu_limit(self.team_gpus_max) };
+        vec![red, gpu_limit(self.blue_gpus_max)]
+    }
+
     /// A new leader: the key changes hands, whatever the old one had under way.
     pub fn elect(&mut self) {
         self.leader = None;
@@ -43,7 +49,7 @@
             value_fit: self.value_fit,
             chunk_fit: self.chunk_fit,
             list_lag_ms: 1_000,
-            teams: [self.team_gpus_max, self.blue_gpus_max].map(gpu_limit).to_vec(),
+            teams: self.team_limits(),
             aims: Vec::new(),
             idle_keep_ms: 1 << 40,
             silent_ms: self.silent_ms,
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -37,7 +37,7 @@
 
 pub const CANCEL: Ms = 50_000;
 
-const REPORT: Ms = 3_000;
+pub const REPORT: Ms = 3_000;
 
 const STEP: Ms = 100;
 
@@ -67,6 +67,10 @@
     /// Limit of the team "red", and of the team "blue"; 0 for none.
     pub team_gpus_max: f64,
     pub blue_gpus_max: f64,
+    /// GPUs guaranteed to the team "red"; 0 for none. "blue" has no guarantee.
+    pub red_gpus_guaranteed: f64,
+    /// Spot machines the cloud still has to give, of `capacity`.
+    pub spot_capacity: u32,
     /// Price of a spot machine; others cost 1.
     pub spot_price: f64,
     /// The leader dies just before, or just after, its next transaction.
@@ -172,6 +176,8 @@
             starts: 0,
             team_gpus_max: 0.0,
             blue_gpus_max: 0.0,
+            red_gpus_guaranteed: 0.0,
+            spot_capacity: u32::MAX,
             spot_price: 0.5,
             die_before_txn: false,
             die_after_txn: false,
