--- a/src/coordination/fleet/mod.rs
+++ b/src/coordination/fleet/mod.rs
@@ -148,7 +148,7 @@
             self.note_zones(now);
             self.return_machines(now);
         }
-        if !self.fleet.unmet.is_empty() {
+        if self.is_crowded() {
             self.fleet.crowded = now;
         }
         if now >= self.fleet.next_consolidation {
@@ -160,4 +160,15 @@
             self.rent(now, tables);
         }
     }
+    /// Whether work waits for whose sake no machine may be vacated.
+    ///
+    /// Guard: a team without a guarantee may have work waiting at all times. Once
+    /// it has begun, it would keep each machine from going back, however dear.
+    fn is_crowded(&self) -> bool {
+        let keeps_machines = |unmet: &UnmetDemand| {
+            let job = self.job(unmet.job);
+            job.is_some_and(|job| job.placed == 0 || !self.is_without_guarantee(job.spec.team))
+        };
+        self.fleet.unmet.iter().any(keeps_machines)
+    }
 }
--- a/src/coordination/pass/mod.rs
+++ b/src/coordination/pass/mod.rs
@@ -78,7 +78,7 @@
     }
 
     /// Whether nothing is guaranteed to a team, while something is to others.
-    pub(super) fn is_without_guarantee(&self, team: TeamIx) -> bool {
+    pub fn is_without_guarantee(&self, team: TeamIx) -> bool {
         !self.team_limits(team).has_guarantee() && self.cfg.teams.iter().any(TeamLimits::has_guarantee)
     }
 
