--- a/src/bookkeeping/budget.rs
+++ b/src/bookkeeping/budget.rs
@@ -9,7 +9,7 @@
 const SUBMIT_FLOOR: f64 = 0.2;
 /// Share of the burst that submissions of teams without a guarantee must leave
 /// to those of teams that have one.
-const UNGUARANTEED_SUBMIT_FLOOR: f64 = 0.6;
+const UNGUARANTEED_SUBMIT_FLOOR: f64 = 0.3;
 /// Share of a service's limit that is distributed; the rest covers what the
 /// service counts differently.
 const DISTRIBUTED_SHARE: f64 = 0.95;
