--- a/src/coordination/fleet/consolidation.rs
+++ b/src/coordination/fleet/consolidation.rs
@@ -4,8 +4,8 @@
 use crate::{
     bookkeeping::{job_cache::JobIx, records::Status},
     coordination::{
-        leader::Leader,
-        model::{AssignmentIx, Machine, MachineIx, MachineLifecycle, Ms, Res, TypeInfo},
+        leader::{Leader, SAVE_MARGIN_S},
+        model::{AssignmentIx, Job, Machine, MachineIx, MachineLifecycle, Ms, Res, TypeInfo},
         snapshot::RoomKind,
         trial::{HostFilter, TrialRequest, Verdict},
     },
@@ -22,6 +22,9 @@
 /// Machines tried in one step, the dearest first.
 const CANDIDATES_PER_STEP: usize = 4;
 
+/// Machines drained of unguaranteed work in one step: their ends have to be written.
+const DRAINS_PER_STEP: usize = 8;
+
 /// A machine that may be vacated.
 struct Candidate {
     price: f64,
@@ -32,8 +35,7 @@
     /// An expensive machine whose GPUs have no use takes no other work once
     /// nothing waits: it becomes empty and is handed back.
     pub fn reserved_for_gpu_work(&self, now: Ms, machine: &Machine, machine_type: &TypeInfo) -> bool {
-        let is_crowded = now < self.fleet.crowded + UNCROWDED_MS;
-        if machine_type.cap.gpus <= 0.0 || machine_type.cap.cpus <= 0.0 || is_crowded {
+        if machine_type.cap.gpus <= 0.0 || machine_type.cap.cpus <= 0.0 || self.fleet.is_crowded(now, machine_type.ix) {
             return false;
         }
         let price_per_cpu = |t: &TypeInfo| t.price_of(machine.spot) / t.cap.cpus;
@@ -46,6 +48,7 @@
     /// else move to where there is room among others, and it goes back. A move
     /// costs a replica the moment between its stop and its start.
     pub(super) fn consolidate(&mut self, now: Ms) {
+        self.drain_unguaranteed_work(now);
         let is_crowded = now < self.fleet.crowded + UNCROWDED_MS;
         if is_crowded || now < self.started + START_DELAY_FACTOR * UNCROWDED_MS {
             return;
@@ -67,6 +70,53 @@
         self.snapshot.release(0);
     }
 
+    /// Expensive machines on which nothing runs but tasks of teams without a
+    /// guarantee, which can save what they did, are drained and handed back.
+    ///
+    /// Guard: such tasks may run for minutes, one after another: what they hold
+    /// is as good as rented for them.
+    fn drain_unguaranteed_work(&mut self, now: Ms) {
+        let drained: Vec<MachineIx> = (0..self.machines.len() as u32)
+            .map(MachineIx)
+            .filter(|&ix| self.holds_only_unguaranteed_work(ix))
+            .take(DRAINS_PER_STEP)
+            .collect();
+        for ix in drained {
+            let machine = &mut self.machines[ix.at()];
+            tracing::info!(machine = &*machine.id, tasks = machine.assignments.len(), "drained of unguaranteed work");
+            machine.retiring = true;
+            for assignment_ix in machine.assignments.clone() {
+                let save_s = self.save_time_s(assignment_ix);
+                self.halt(now, assignment_ix, save_s);
+            }
+            self.refresh(now, ix);
+            self.pass_needed = true;
+        }
+    }
+
+    fn holds_only_unguaranteed_work(&self, ix: MachineIx) -> bool {
+        let machine = self.machine(ix);
+        let takes_gpu_work_only = self.snapshot.hosts.get(ix.at()).is_some_and(|host| host.gpu_only);
+        let may_be_drained = machine.lifecycle == MachineLifecycle::Up && !machine.retiring && machine.fenced();
+        if !takes_gpu_work_only || !may_be_drained || machine.assignments.is_empty() {
+            return false;
+        }
+        let jobs = machine.assignments.iter().map(|&assignment_ix| {
+            let assignment = self.assignment(assignment_ix)?;
+            self.job(assignment.job)
+        });
+        let is_drainable = |job: &Job| {
+            job.spec.checkpoint_s > 0.0 && job.spec.kind == Kind::Array && self.is_without_guarantee(job.spec.team)
+        };
+        jobs.into_iter().all(|job| job.is_some_and(is_drainable))
+    }
+
+    /// The grace in which a task saves what it did.
+    fn save_time_s(&self, ix: AssignmentIx) -> f64 {
+        let job = self.assignment(ix).and_then(|assignment| self.job(assignment.job));
+        job.map_or(0.0, |job| job.spec.save_s + SAVE_MARGIN_S)
+    }
+
     /// Machines that may be vacated, the dearest first.
     fn consolidation_candidates(&self, now: Ms) -> Vec<Candidate> {
         let mut candidates: Vec<Candidate> = Vec::new();
--- a/src/coordination/fleet/mod.rs
+++ b/src/coordination/fleet/mod.rs
@@ -13,13 +13,13 @@
 use self::offers::Offer;
 use super::{
     leader::Leader,
-    model::{MachineIx, Ms},
+    model::{MachineIx, Ms, Res, TypeInfo},
 };
 use crate::{
     bookkeeping::job_cache::JobIx,
     protocol::{
         cloud::RentRequest,
-        names::{Tables, ZoneIx},
+        names::{Tables, TypeIx, ZoneIx},
     },
 };
 
@@ -71,6 +71,8 @@
 #[derive(Debug)]
 pub struct Fleet {
     nonce: u64,
+    /// When the leadership began.
+    began: Ms,
     request_count: u64,
     calls: HashMap<u64, Call>,
     /// Rental requests that went unanswered: sent again until it is known what
@@ -91,6 +93,8 @@
     pub cloud_ok: Ms,
     /// When work last waited for room.
     pub crowded: Ms,
+    /// The same of work that could run on machines of a type.
+    crowded_types: HashMap<TypeIx, Ms>,
 }
 
 /// How a rental request ended.
@@ -111,6 +115,7 @@
     pub fn new(nonce: u64, now: Ms) -> Fleet {
         Fleet {
             nonce,
+            began: now,
             request_count: 0,
             calls: HashMap::new(),
             retries: Vec::new(),
@@ -124,9 +129,17 @@
             zone_heard_since: HashMap::new(),
             cloud_ok: now,
             crowded: now,
+            crowded_types: HashMap::new(),
         }
     }
 
+    /// Whether work that could run on machines of this type waited for room lately.
+    /// A new leader has not seen yet what waits.
+    fn is_crowded(&self, now: Ms, machine_type: TypeIx) -> bool {
+        let crowded_at = self.crowded_types.get(&machine_type).copied().unwrap_or(self.began);
+        now < crowded_at + UNCROWDED_MS
+    }
+
     /// A name for a rental request. Names carry this leadership's random number:
     /// no controller ever uses one twice.
     fn next_request_name(&mut self) -> String {
@@ -148,9 +161,7 @@
             self.note_zones(now);
             self.return_machines(now);
         }
-        if self.is_crowded() {
-            self.fleet.crowded = now;
-        }
+        self.note_crowding(now);
         if now >= self.fleet.next_consolidation {
             self.fleet.next_consolidation = now + CONSOLIDATION_INTERVAL_MS;
             self.consolidate(now);
@@ -160,15 +171,28 @@
             self.rent(now, tables);
         }
     }
-    /// Whether work waits for whose sake no machine may be vacated.
+    /// Notes for which types work waits that keeps their machines from being
+    /// vacated.
     ///
     /// Guard: a team without a guarantee may have work waiting at all times. Once
-    /// it has begun, it would keep each machine from going back, however dear.
-    fn is_crowded(&self) -> bool {
-        let keeps_machines = |unmet: &UnmetDemand| {
-            let job = self.job(unmet.job);
-            job.is_some_and(|job| job.placed == 0 || !self.is_without_guarantee(job.spec.team))
-        };
-        self.fleet.unmet.iter().any(keeps_machines)
+    /// it has begun, it would keep each machine from going back, however dear; and
+    /// so would work that can't run on such a machine at all.
+    fn note_crowding(&mut self, now: Ms) {
+        let mut crowded_types: Vec<TypeIx> = Vec::new();
+        for unmet in &self.fleet.unmet {
+            let Some(job) = self.job(unmet.job) else { continue };
+            if job.placed > 0 && self.is_without_guarantee(job.spec.team) {
+                continue;
+            }
+            let need = Res::of(&job.spec);
+            let usable = |known: &&TypeInfo| job.spec.allows_type(known.ix) && need.fits_in(&known.cap);
+            crowded_types.extend(self.types.iter().filter(usable).map(|known| known.ix));
+        }
+        if !crowded_types.is_empty() {
+            self.fleet.crowded = now;
+        }
+        for machine_type in crowded_types {
+            self.fleet.crowded_types.insert(machine_type, now);
+        }
     }
 }
