--- a/src/coordination/pass/mod.rs
+++ b/src/coordination/pass/mod.rs
@@ -5,6 +5,7 @@
 mod headroom;
 mod order;
 mod room;
+mod unguaranteed;
 
 use std::rc::Rc;
 
@@ -42,6 +43,8 @@
     /// Replicas that are expected next; `None` once room is reserved for them.
     headroom: Option<Vec<ExpectedReplicas>>,
     hopeless: HopelessShapes,
+    /// CPUs left to teams without a guarantee.
+    unguaranteed_cpus: f64,
     /// Gangs that room was reserved for so far.
     gathering_gangs: usize,
     /// One gang in each zone at a time collects its machines.
@@ -102,6 +105,7 @@
             unmet: Vec::new(),
             headroom: Some(self.expected_replicas(now)),
             hopeless: HopelessShapes::default(),
+            unguaranteed_cpus: self.unguaranteed_cpus(now),
             gathering_gangs: 0,
             gathering_gangs_max: self.snapshot.zone_count(),
         };
@@ -123,7 +127,11 @@
         }
         let Some(job) = self.job(ix) else { return };
         let is_due = is_due(now, job);
-        let tasks = self.tasks_to_place(job, is_due);
+        let gets_what_is_left = self.gets_what_is_left(job);
+        let mut tasks = self.tasks_to_place(job, is_due);
+        if gets_what_is_left && job.spec.kind == Kind::Array {
+            tasks.truncate(self.unguaranteed_tasks(now, job, state.unguaranteed_cpus));
+        }
         if tasks.is_empty() {
             return;
         }
@@ -135,6 +143,9 @@
             avoid: self.avoided_machines(job),
         };
         let placed = self.try_place(now, &placement, state);
+        if gets_what_is_left {
+            state.unguaranteed_cpus -= placed as f64 * placement.spec.cpus;
+        }
         if placed == placement.tasks.len() {
             if let Some(job) = self.job_mut(ix) {
                 job.waiting_since = now;
--- /dev/null
+++ b/src/coordination/pass/unguaranteed.rs
@@ -0,0 +1,70 @@
+//! How much of the free room goes to teams without a guarantee.
+
+use crate::{
+    bookkeeping::records::Status,
+    coordination::{
+        leader::Leader,
+        model::{Job, Ms, RESOURCE_TOLERANCE},
+    },
+    protocol::jobs::Kind,
+};
+
+/// What arrived in this time is expected again within as long: about what a
+/// machine takes to come.
+const EXPECTED_AGAIN_MS: i64 = 30_000;
+/// A job without a guarantee that got no room for this long gets some all the
+/// same: none may be left waiting beside room.
+const LONGEST_WAIT_MS: Ms = 60_000;
+/// The part of its tasks that it gets then.
+const LONG_WAIT_DIVISOR: u32 = 16;
+
+impl Leader {
+    /// Whether nothing is guaranteed to a job's team, and its use is limited to
+    /// what the others leave.
+    pub(super) fn gets_what_is_left(&self, job: &Job) -> bool {
+        job.spec.kind != Kind::Service && self.is_without_guarantee(job.spec.team)
+    }
+
+    /// CPUs that jobs without a guarantee may take in this pass.
+    ///
+    /// Guard: their tasks may run for minutes, and work of the same priority
+    /// can't have them stopped: they took all free room as it came, and others
+    /// waited until they ended.
+    pub(super) fn unguaranteed_cpus(&self, now: Ms) -> f64 {
+        (self.free_cpus() - self.expected_cpus(now)).max(0.0)
+    }
+
+    /// Free CPUs of machines without GPUs, where there are such machines.
+    fn free_cpus(&self) -> f64 {
+        let pools = || self.snapshot.pools.iter().filter(|pool| !pool.members.is_empty());
+        let without_gpus = || pools().filter(|pool| pool.cap.gpus <= RESOURCE_TOLERANCE);
+        if without_gpus().next().is_some() {
+            without_gpus().map(|pool| pool.room.cpus).sum()
+        } else {
+            pools().map(|pool| pool.room.cpus).sum()
+        }
+    }
+
+    /// CPUs that arrays of teams with a guarantee may be expected to ask for.
+    fn expected_cpus(&self, now: Ms) -> f64 {
+        let arrived_lately = |job: &&Job| now as i64 - job.since < EXPECTED_AGAIN_MS;
+        self.active_jobs()
+            .filter(|job| job.status == Status::Pending && job.spec.kind == Kind::Array)
+            .filter(arrived_lately)
+            .filter(|job| !self.is_without_guarantee(job.spec.team))
+            .map(|job| f64::from(job.spec.tasks) * job.spec.cpus)
+            .sum()
+    }
+
+    /// How many tasks of a job without a guarantee may be placed now, out of so
+    /// many CPUs.
+    pub(super) fn unguaranteed_tasks(&self, now: Ms, job: &Job, cpus: f64) -> usize {
+        let fitting = (cpus / job.spec.cpus.max(RESOURCE_TOLERANCE)) as usize;
+        let has_waited = !job.ever_assigned || now >= job.last_assigned + LONGEST_WAIT_MS;
+        if has_waited {
+            fitting.max((job.spec.tasks / LONG_WAIT_DIVISOR).max(1) as usize)
+        } else {
+            fitting
+        }
+    }
+}
