--- a/src/coordination/fleet/offers.rs
+++ b/src/coordination/fleet/offers.rs
@@ -45,6 +45,17 @@
     }
 }
 
+/// How much a team's guarantee lets its work pay.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Guarantee {
+    /// Something is guaranteed to the team, or nothing to any.
+    Some,
+    /// Nothing is, and the job has not begun.
+    NoneNotBegun,
+    /// Nothing is, and the job has begun: the rest of it can wait.
+    NoneBegun,
+}
+
 /// Tasks for which machines are to be rented.
 pub(super) struct RentalDemand<'a> {
     pub spec: &'a JobSpec,
@@ -56,8 +67,8 @@
     pub tasks: u32,
     /// How long the job has waited for room.
     pub waited_s: f64,
-    /// Nothing is guaranteed to the job's team.
-    pub without_guarantee: bool,
+    /// What is guaranteed to the job's team.
+    pub guarantee: Guarantee,
 }
 
 /// The offer chosen for some work.
@@ -125,11 +136,13 @@
 /// the dearest types too, once it had waited for a while.
 fn price_tolerance(demand: &RentalDemand<'_>) -> f64 {
     let base = base_price_tolerance(demand.spec.priority);
-    if demand.without_guarantee {
-        let grown = base + demand.waited_s * UNGUARANTEED_TOLERANCE_PER_S;
-        return grown.min(UNGUARANTEED_TOLERANCE_MAX);
+    match demand.guarantee {
+        Guarantee::Some => base + demand.waited_s * TOLERANCE_PER_S,
+        Guarantee::NoneNotBegun => {
+            (base + demand.waited_s * UNGUARANTEED_TOLERANCE_PER_S).min(UNGUARANTEED_TOLERANCE_MAX)
+        }
+        Guarantee::NoneBegun => base,
     }
-    base + demand.waited_s * TOLERANCE_PER_S
 }
 
 /// The same for work of this priority that has not waited yet.
--- a/src/coordination/fleet/renting.rs
+++ b/src/coordination/fleet/renting.rs
@@ -4,7 +4,7 @@
 
 use super::{
     arrivals::Arrivals,
-    offers::{Offer, RentalDemand},
+    offers::{Guarantee, Offer, RentalDemand},
     Backoff, Call, RentOutcome, RentRetry,
 };
 use crate::{
@@ -144,7 +144,11 @@
         let Some(job) = self.job(unmet.job) else { return };
         let (spec, zone_used) = (&*job.spec, &*job.zone_used);
         let need = Res::of(spec);
-        let without_guarantee = self.is_without_guarantee(spec.team);
+        let guarantee = match (self.is_without_guarantee(spec.team), job.placed > 0) {
+            (false, _) => Guarantee::Some,
+            (true, false) => Guarantee::NoneNotBegun,
+            (true, true) => Guarantee::NoneBegun,
+        };
         let alike = plan.unmet_by_class.get(&spec.class).copied().unwrap_or(0);
         for zone_demand in self.demand_by_zone(spec, zone_used, unmet.tasks, &plan.arrivals) {
             let zone = zone_demand.zone;
@@ -158,7 +162,7 @@
                 }
                 let tasks = alike.max(left);
                 let waited_s = job.waited_ms(now) as f64 / 1000.0;
-                let demand = RentalDemand { spec, zone, zone_used, tasks, waited_s, without_guarantee };
+                let demand = RentalDemand { spec, zone, zone_used, tasks, waited_s, guarantee };
                 let Some(chosen) = self.choose_offer(now, &demand) else { break };
                 let allowed = (self.cfg.max_machines - plan.total_machines) as u32;
                 let count = left.div_ceil(chosen.tasks_per_machine).min(MACHINES_PER_CALL).min(allowed);
--- a/src/coordination/pass/mod.rs
+++ b/src/coordination/pass/mod.rs
@@ -127,12 +127,13 @@
         }
         let Some(job) = self.job(ix) else { return };
         let is_due = is_due(now, job);
+        let wanted = self.tasks_to_place(job, is_due);
         let gets_what_is_left = self.gets_what_is_left(job);
-        let mut tasks = self.tasks_to_place(job, is_due);
-        if gets_what_is_left && job.spec.kind == Kind::Array {
+        let mut tasks = wanted.clone();
+        if gets_what_is_left {
             tasks.truncate(self.unguaranteed_tasks(now, job, state.unguaranteed_cpus));
         }
-        if tasks.is_empty() {
+        if wanted.is_empty() {
             return;
         }
         let placement = Placement {
@@ -146,7 +147,7 @@
         if gets_what_is_left {
             state.unguaranteed_cpus -= placed as f64 * placement.spec.cpus;
         }
-        if placed == placement.tasks.len() {
+        if placed == wanted.len() {
             if let Some(job) = self.job_mut(ix) {
                 job.waiting_since = now;
             }
@@ -154,7 +155,7 @@
         }
         let is_at_fault = self.job(ix).is_some_and(|job| job.failures.job_is_at_fault());
         if !is_at_fault {
-            state.unmet.push(UnmetDemand { job: ix, tasks: (placement.tasks.len() - placed) as u32 });
+            state.unmet.push(UnmetDemand { job: ix, tasks: (wanted.len() - placed) as u32 });
         }
         let reservations = self.snapshot.reservations();
         self.make_room(now, ix, &placement.tasks[placed..], &mut state.hopeless);
@@ -220,7 +221,7 @@
 
     /// Assigns what finds room now and returns how many tasks that are.
     fn try_place(&mut self, now: Ms, placement: &Placement, state: &mut PassState) -> usize {
-        if state.hopeless.has_no_room_now(&placement.spec) {
+        if placement.tasks.is_empty() || state.hopeless.has_no_room_now(&placement.spec) {
             return 0;
         }
         let outcome = self.snapshot.trial(&TrialRequest {
--- a/src/coordination/pass/room.rs
+++ b/src/coordination/pass/room.rs
@@ -58,7 +58,7 @@
     /// stops other work.
     pub(super) fn make_room(&mut self, now: Ms, ix: JobIx, tasks: &[u32], hopeless: &mut HopelessShapes) {
         let Some(job) = self.job(ix) else { return };
-        if !may_make_room(now, job) {
+        if tasks.is_empty() || !may_make_room(now, job) {
             return;
         }
         let id = job.id.clone();
--- a/src/coordination/pass/unguaranteed.rs
+++ b/src/coordination/pass/unguaranteed.rs
@@ -16,13 +16,13 @@
 /// same: none may be left waiting beside room.
 const LONGEST_WAIT_MS: Ms = 60_000;
 /// The part of its tasks that it gets then.
-const LONG_WAIT_DIVISOR: u32 = 16;
+const LONG_WAIT_DIVISOR: u32 = 64;
 
 impl Leader {
-    /// Whether nothing is guaranteed to a job's team, and its use is limited to
-    /// what the others leave.
+    /// Whether a job gets only what others leave: an array of a team to which
+    /// nothing is guaranteed.
     pub(super) fn gets_what_is_left(&self, job: &Job) -> bool {
-        job.spec.kind != Kind::Service && self.is_without_guarantee(job.spec.team)
+        job.spec.kind == Kind::Array && self.is_without_guarantee(job.spec.team)
     }
 
     /// CPUs that jobs without a guarantee may take in this pass.
--- a/tests/safety_rules/unguaranteed_teams.rs
+++ b/tests/safety_rules/unguaranteed_teams.rs
@@ -2,7 +2,7 @@
 
 use shedhook::bookkeeping::records::Status;
 
-use crate::simulation::{submission, Simulation};
+use crate::simulation::{submission, Simulation, CHEAP_MACHINE_TYPE, MACHINE_TYPE};
 
 /// Guard: a team without a guarantee bought every machine there was, at any
 /// price, once its work had waited; and its tasks, submitted first, went before
@@ -28,3 +28,54 @@
     assert_eq!(sim.status("j-1"), Status::Pending);
     sim.run_until("the guest is served in the end", 400_000, |sim| sim.status("j-1") == Status::Done);
 }
+
+/// Guard: tasks of a team without a guarantee that run for minutes took all
+/// room as it became free; work of others of the same priority waited for them.
+pub fn guests_leave_room_for_others(sim: &mut Simulation) {
+    sim.red_gpus_guaranteed = 4.0;
+    for n in 0..16 {
+        sim.add_worker(["a", "b"][n % 2]);
+    }
+    sim.elect();
+    sim.run(5_000);
+    let submit = |sim: &mut Simulation, id: &str, team: &str, tasks: u32, run_ms| {
+        let mut job = submission(id, "batch", tasks);
+        (job.team, job.priority) = (Some(team.into()), Some("low".into()));
+        sim.submit(job, run_ms);
+    };
+    submit(sim, "j-100", "red", 16, 10_000);
+    sim.run(10_000);
+    submit(sim, "j-1", "blue", 400, 150_000);
+    for n in 0..8 {
+        let id = format!("j-20{n}");
+        submit(sim, &id, "red", 16, 10_000);
+        sim.run_until("work of others begins at once", 8_000, |sim| sim.worker_running(&format!("{id}/0")).is_some());
+        sim.run(10_000);
+    }
+    let guests = (0..400).filter(|n| sim.worker_running(&format!("j-1/{n}")).is_some()).count();
+    assert!(guests >= 32, "{guests} guests run on 80 places of which others use 16");
+    sim.run(30_000);
+    sim.run_until("what others leave is used in the end", 150_000, |sim| {
+        (0..400).filter(|n| sim.worker_running(&format!("j-1/{n}")).is_some()).count() >= 76
+    });
+}
+
+/// Guard: machines that were dear, and whose GPUs had no use, were kept for as
+/// long as a team without a guarantee had tasks for their CPUs.
+pub fn dear_machines_are_not_kept_for_guests(sim: &mut Simulation) {
+    (sim.red_gpus_guaranteed, sim.offers_cheap_type) = (4.0, true);
+    sim.elect();
+    sim.run(5_000);
+    let mut guest = submission("j-1", "batch", 30);
+    (guest.team, guest.priority) = (Some("blue".into()), Some("low".into()));
+    (guest.checkpoint_s, guest.save_s) = (Some(10.0), Some(3.0));
+    sim.submit(guest, 60_000);
+    sim.run_until("the guest uses what is there", 10_000, |sim| sim.worker_running("j-1/0").is_some());
+    sim.capacity = 20;
+    let dear_ones_went =
+        |sim: &Simulation| sim.workers.iter().all(|worker| worker.dead == (worker.machine_type == MACHINE_TYPE));
+    sim.run_until("the dear machines go back", 60_000, dear_ones_went);
+    assert!(sim.halts.iter().all(|halt| halt.2 >= 3.0), "its tasks can save what they did");
+    sim.run_until("it is served on cheap ones", 200_000, |sim| sim.status("j-1") == Status::Done);
+    assert!(sim.workers.iter().any(|worker| worker.machine_type == CHEAP_MACHINE_TYPE));
+}
--- a/tests/simulation/cloud.rs
+++ b/tests/simulation/cloud.rs
@@ -7,6 +7,12 @@
 
 use super::{worker::Worker, Simulation};
 
+/// The type of all machines that are there from the start; it has GPUs.
+pub const MACHINE_TYPE: &str = "m";
+
+/// A tenth of its price, and no GPUs.
+pub const CHEAP_MACHINE_TYPE: &str = "c";
+
 /// A rental as the cloud was asked for it; the name makes it idempotent.
 pub struct RentalRequest {
     pub at: Ms,
@@ -21,6 +27,7 @@
         self.workers.push(Worker {
             id: id.clone(),
             zone: zone.into(),
+            machine_type: MACHINE_TYPE.into(),
             spot: false,
             session: 1,
             seq: 0,
@@ -43,8 +50,8 @@
     }
 
     pub(super) fn types(&self) -> Vec<TypeInfo> {
-        vec![TypeInfo {
-            ix: self.tables.types.find("m").unwrap(),
+        let machine_type = TypeInfo {
+            ix: self.tables.types.find(MACHINE_TYPE).unwrap(),
             cap: Res { cpus: 8.0, gpus: 4.0, memory_gb: 64.0 },
             cache_gb: 50.0,
             fetch_gb_per_s: 1.0,
@@ -52,7 +59,18 @@
             spot_price: self.spot_price,
             boot_s: 5.0,
             zones: vec![self.tables.zones.find("a").unwrap(), self.tables.zones.find("b").unwrap()],
-        }]
+        };
+        let mut types = vec![machine_type.clone()];
+        if self.offers_cheap_type {
+            types.push(TypeInfo {
+                ix: self.tables.types.find(CHEAP_MACHINE_TYPE).unwrap(),
+                cap: Res { gpus: 0.0, ..machine_type.cap },
+                price: machine_type.price / 10.0,
+                spot_price: machine_type.spot_price / 10.0,
+                ..machine_type
+            });
+        }
+        types
     }
 
     pub(super) fn rent(&mut self, req: &RentRequest) -> Option<Vec<String>> {
@@ -78,6 +96,7 @@
         let ids: Vec<String> = (0..n).map(|_| self.add_worker(&req.zone)).collect();
         for w in self.workers.iter_mut().filter(|w| ids.contains(&w.id)) {
             w.spot = req.spot;
+            w.machine_type.clone_from(&req.machine_type);
         }
         self.rentals.insert(req.request.clone(), ids.clone());
         Some(ids)
--- a/tests/simulation/controller.rs
+++ b/tests/simulation/controller.rs
@@ -304,7 +304,7 @@
                     .map(|w| ListedHost {
                         id: w.id.clone(),
                         addr: None,
-                        machine_type: "m".into(),
+                        machine_type: w.machine_type.clone(),
                         zone: w.zone.clone(),
                         spot: w.spot,
                         state: HostState::Running,
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -26,6 +26,7 @@
 };
 
 use cloud::RentalRequest;
+pub use cloud::{CHEAP_MACHINE_TYPE, MACHINE_TYPE};
 pub use faults::{FaultRates, Held};
 use state_service::Store;
 pub use users::submission;
@@ -71,6 +72,8 @@
     pub red_gpus_guaranteed: f64,
     /// Spot machines the cloud still has to give, of `capacity`.
     pub spot_capacity: u32,
+    /// The cloud offers the cheap type, too.
+    pub offers_cheap_type: bool,
     /// Price of a spot machine; others cost 1.
     pub spot_price: f64,
     /// The leader dies just before, or just after, its next transaction.
@@ -178,6 +181,7 @@
             blue_gpus_max: 0.0,
             red_gpus_guaranteed: 0.0,
             spot_capacity: u32::MAX,
+            offers_cheap_type: false,
             spot_price: 0.5,
             die_before_txn: false,
             die_after_txn: false,
@@ -215,7 +219,8 @@
         };
         w.tables.teams.intern("red");
         w.tables.teams.intern("blue");
-        w.tables.types.intern("m");
+        w.tables.types.intern(MACHINE_TYPE);
+        w.tables.types.intern(CHEAP_MACHINE_TYPE);
         for z in ["a", "b"] {
             w.tables.zones.intern(z);
         }
--- a/tests/simulation/worker.rs
+++ b/tests/simulation/worker.rs
@@ -35,6 +35,7 @@
 pub struct Worker {
     pub id: String,
     pub zone: String,
+    pub machine_type: String,
     pub spot: bool,
     pub session: u64,
     pub seq: u64,
@@ -82,7 +83,7 @@
         Report {
             machine: self.id.clone(),
             addr: "127.0.0.1:9".into(),
-            machine_type: "m".into(),
+            machine_type: self.machine_type.clone(),
             zone: self.zone.clone(),
             spot: self.spot,
             session: self.session,
