--- a/src/coordination/pass/mod.rs
+++ b/src/coordination/pass/mod.rs
@@ -5,6 +5,7 @@
 mod headroom;
 mod order;
 mod room;
+mod unguaranteed;
 
 use std::rc::Rc;
 
@@ -42,6 +43,8 @@
     /// Replicas that are expected next; `None` once room is reserved for them.
     headroom: Option<Vec<ExpectedReplicas>>,
     hopeless: HopelessShapes,
+    /// CPUs left to teams without a guarantee.
+    unguaranteed_cpus: f64,
     /// Gangs that room was reserved for so far.
     gathering_gangs: usize,
     /// One gang in each zone at a time collects its machines.
@@ -78,7 +81,7 @@
     }
 
     /// Whether nothing is guaranteed to a team, while something is to others.
-    pub(super) fn is_without_guarantee(&self, team: TeamIx) -> bool {
+    pub fn is_without_guarantee(&self, team: TeamIx) -> bool {
         !self.team_limits(team).has_guarantee() && self.cfg.teams.iter().any(TeamLimits::has_guarantee)
     }
 
@@ -102,6 +105,7 @@
             unmet: Vec::new(),
             headroom: Some(self.expected_replicas(now)),
             hopeless: HopelessShapes::default(),
+            unguaranteed_cpus: self.unguaranteed_cpus(now),
             gathering_gangs: 0,
             gathering_gangs_max: self.snapshot.zone_count(),
         };
@@ -123,8 +127,13 @@
         }
         let Some(job) = self.job(ix) else { return };
         let is_due = is_due(now, job);
-        let tasks = self.tasks_to_place(job, is_due);
-        if tasks.is_empty() {
+        let wanted = self.tasks_to_place(job, is_due);
+        let gets_what_is_left = self.gets_what_is_left(job);
+        let mut tasks = wanted.clone();
+        if gets_what_is_left {
+            tasks.truncate(self.unguaranteed_tasks(now, job, state.unguaranteed_cpus));
+        }
+        if wanted.is_empty() {
             return;
         }
         let placement = Placement {
@@ -135,7 +144,10 @@
             avoid: self.avoided_machines(job),
         };
         let placed = self.try_place(now, &placement, state);
-        if placed == placement.tasks.len() {
+        if gets_what_is_left {
+            state.unguaranteed_cpus -= placed as f64 * placement.spec.cpus;
+        }
+        if placed == wanted.len() {
             if let Some(job) = self.job_mut(ix) {
                 job.waiting_since = now;
             }
@@ -143,7 +155,7 @@
         }
         let is_at_fault = self.job(ix).is_some_and(|job| job.failures.job_is_at_fault());
         if !is_at_fault {
-            state.unmet.push(UnmetDemand { job: ix, tasks: (placement.tasks.len() - placed) as u32 });
+            state.unmet.push(UnmetDemand { job: ix, tasks: (wanted.len() - placed) as u32 });
         }
         let reservations = self.snapshot.reservations();
         self.make_room(now, ix, &placement.tasks[placed..], &mut state.hopeless);
@@ -209,7 +221,7 @@
 
     /// Assigns what finds room now and returns how many tasks that are.
     fn try_place(&mut self, now: Ms, placement: &Placement, state: &mut PassState) -> usize {
-        if state.hopeless.has_no_room_now(&placement.spec) {
+        if placement.tasks.is_empty() || state.hopeless.has_no_room_now(&placement.spec) {
             return 0;
         }
         let outcome = self.snapshot.trial(&TrialRequest {
