--- a/src/coordination/leader/commit_outcomes.rs
+++ b/src/coordination/leader/commit_outcomes.rs
@@ -28,7 +28,7 @@
         match outcome {
             CommitOutcome::Done(stamp) => self.applied(now, in_flight, stamp),
             CommitOutcome::Refused => {
-                self.commit_after = now + REFUSED_PAUSE_MS;
+                self.transactions.paused_until = now + REFUSED_PAUSE_MS;
                 // Rebuilt from the wanted state as it is by then. But if an
                 // earlier copy went unanswered, that one must be settled first.
                 if in_flight.has_unanswered_copy {
@@ -42,7 +42,7 @@
             CommitOutcome::Unknown => {
                 // Guard: it may yet be applied. The same transaction again, on
                 // the same conditions, can be applied only once in all.
-                self.commit_after = now + UNANSWERED_PAUSE_MS;
+                self.transactions.paused_until = now + UNANSWERED_PAUSE_MS;
                 in_flight.mark_returned();
                 in_flight.has_unanswered_copy = true;
                 self.transactions.in_flight = Some(in_flight);
@@ -100,9 +100,9 @@
         if self.value_limit > self.cfg.value_fit {
             tracing::warn!(bytes = self.cfg.value_fit, "values are kept smaller from now on");
             self.value_limit = self.cfg.value_fit;
-            self.commit_after = now + REFUSED_PAUSE_MS;
+            self.transactions.paused_until = now + REFUSED_PAUSE_MS;
         } else {
-            self.commit_after = now + TOO_LARGE_PAUSE_MS;
+            self.transactions.paused_until = now + TOO_LARGE_PAUSE_MS;
             self.transactions.ops_cap = (in_flight.txn.writes.len() / 2).max(1);
             if in_flight.txn.writes.len() == 1 {
                 self.set_aside(now, &in_flight);
@@ -251,7 +251,7 @@
                 return;
             }
         }
-        self.commit_after = now;
+        self.transactions.paused_until = now;
         self.give_back(in_flight);
     }
 
--- a/src/coordination/leader/commits.rs
+++ b/src/coordination/leader/commits.rs
@@ -3,7 +3,7 @@
 use ciborium::Value;
 
 use super::{
-    pipeline::{TxnContents, TxnState, WrittenChunk},
+    pipeline::{InFlightTxn, TxnContents, TxnState, WrittenChunk},
     resharding::RESHARD_GAP_MS,
     Leader,
 };
@@ -136,9 +136,11 @@
         records::to_value(&ChunkRecord { done, assignments, tag })
     }
 
-    /// Whether a transaction is unanswered.
-    pub fn commit_busy(&self) -> bool {
-        self.transactions.in_flight.as_ref().is_some_and(|in_flight| matches!(in_flight.state, TxnState::Sent))
+    /// Whether a transaction may be sent: none is unanswered, and no pause is kept
+    /// after one that failed.
+    pub fn may_commit(&self, now: Ms) -> bool {
+        let is_sent = |in_flight: &InFlightTxn| matches!(in_flight.state, TxnState::Sent);
+        now >= self.transactions.paused_until && !self.transactions.in_flight.as_ref().is_some_and(is_sent)
     }
 
     /// A key to read before the next transaction.
--- a/src/coordination/leader/mod.rs
+++ b/src/coordination/leader/mod.rs
@@ -62,11 +62,11 @@
 /// All that a controller keeps while it leads.
 pub struct Leader {
     /// Settings of this leadership.
-    pub cfg: Config,
+    pub(in crate::coordination) cfg: Config,
     /// Stamp of the leader record: identifies this leadership.
     pub stamp: u64,
     /// The latest moment heard of.
-    pub clock: Ms,
+    pub(in crate::coordination) clock: Ms,
     /// Largest value, in bytes, that the state service is known to take.
     pub value_limit: usize,
     /// All controllers run a version that can follow a resharded job.
@@ -78,40 +78,38 @@
     /// All records are read.
     pub loaded: bool,
     /// Jobs by their index; None: not known, or over and released.
-    pub jobs: Vec<Option<Job>>,
+    pub(in crate::coordination) jobs: Vec<Option<Job>>,
     /// Jobs that are known and not over.
-    pub active: Vec<JobIx>,
+    pub(in crate::coordination) active: Vec<JobIx>,
     /// Position in `active` from which progress is repeated next.
     next_repeated: usize,
     /// All machines known so far, by their index.
-    pub machines: Vec<Machine>,
+    pub(in crate::coordination) machines: Vec<Machine>,
     /// Indices of the machines, by name.
-    pub machine_ix: HashMap<String, MachineIx>,
+    pub(in crate::coordination) machine_ix: HashMap<String, MachineIx>,
     assignments: AssignmentTable,
     /// Machine types that may be rented.
-    pub types: Vec<TypeInfo>,
+    pub(in crate::coordination) types: Vec<TypeInfo>,
     /// Something changed that may let a waiting job be placed.
-    pub pass_needed: bool,
+    pub(in crate::coordination) pass_needed: bool,
     /// When the last pass was made.
-    pub last_pass: Ms,
+    pub(in crate::coordination) last_pass: Ms,
     last_attempt: u64,
     last_call: u64,
     transactions: TransactionPipeline,
-    /// No transaction is sent before.
-    pub commit_after: Ms,
     /// State of renting and returning machines.
-    pub fleet: Fleet,
+    pub(in crate::coordination) fleet: Fleet,
     effects: Vec<Effect>,
     /// Jobs whose progress changed since it was last published.
     changed_progress: HashSet<JobIx>,
     /// When any worker was last heard.
-    pub heard_any: Ms,
+    pub(in crate::coordination) heard_any: Ms,
     /// The machines as trials see them.
     pub snapshot: ClusterSnapshot,
     /// In use by each team, unproven assignments included.
-    pub team_used: Vec<Res>,
+    pub(in crate::coordination) team_used: Vec<Res>,
     /// Where the next sample of machines for eviction begins.
-    pub eviction_cursor: u32,
+    pub(in crate::coordination) eviction_cursor: u32,
     /// Machines that may have to be sent something, and when to look.
     wake: WakeQueue,
     next_sweep: Ms,
@@ -121,9 +119,9 @@
     /// Failed tasks are judged no earlier.
     next_judgement: Ms,
     /// GPU work seen lately.
-    pub gpu_demand: GpuDemand,
+    pub(in crate::coordination) gpu_demand: GpuDemand,
     /// Observed run times against their owners' estimates.
-    pub run_times: RunTimeEstimates,
+    pub(in crate::coordination) run_times: RunTimeEstimates,
 }
 
 /// The first token of a leadership. A token is the leader's stamp and a count,
@@ -157,7 +155,6 @@
             last_attempt: first_in_sequence,
             last_call: 1,
             transactions: TransactionPipeline::new(first_in_sequence),
-            commit_after: 0,
             fleet: Fleet::new(nonce, now),
             effects: Vec::new(),
             changed_progress: HashSet::new(),
@@ -207,6 +204,12 @@
         self.types.iter().find(|known| known.ix == machine_type)
     }
 
+    /// The cloud's machine types were read again: prices change.
+    pub fn set_types(&mut self, types: &[TypeInfo]) {
+        self.types = types.to_vec();
+        self.snapshot.types_changed(types);
+    }
+
     /// A number for a call, unique within this leadership.
     pub fn call_id(&mut self) -> u64 {
         self.last_call += 1;
--- a/src/coordination/leader/pipeline.rs
+++ b/src/coordination/leader/pipeline.rs
@@ -85,6 +85,8 @@
     /// Most writes of a transaction that the state service is known to take.
     pub ops_cap: usize,
     pub obsolete_records: VecDeque<ObsoleteRecord>,
+    /// No transaction is sent before.
+    pub paused_until: Ms,
     /// No obsolete records are dropped before.
     pub drop_after: Ms,
     /// No job is resharded before.
@@ -99,6 +101,7 @@
             last_tag,
             ops_cap: usize::MAX,
             obsolete_records: VecDeque::new(),
+            paused_until: 0,
             drop_after: 0,
             reshard_after: 0,
             statistics: WriteStatistics::default(),
--- a/src/coordination/pass/mod.rs
+++ b/src/coordination/pass/mod.rs
@@ -90,6 +90,17 @@
         self.team_used.get(team.at()).copied().unwrap_or_default()
     }
 
+    /// Whether something changed since the last pass that may let a job be placed.
+    pub fn waits_for_pass(&self) -> bool {
+        self.pass_needed
+    }
+
+    /// Whether a pass is due: something changed, or the longest gap is over.
+    pub fn needs_pass(&self, now: Ms, min_gap_ms: Ms, max_gap_ms: Ms) -> bool {
+        let gap_ms = now.saturating_sub(self.last_pass);
+        (self.pass_needed && gap_ms >= min_gap_ms) || gap_ms >= max_gap_ms
+    }
+
     /// Tries to place every waiting job.
     pub fn pass(&mut self, now: Ms) {
         self.pass_needed = false;
--- a/src/coordination/pass/order.rs
+++ b/src/coordination/pass/order.rs
@@ -46,10 +46,10 @@
 /// How a job stands to its team's guarantee; within a tier, the earlier goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Standing {
-    WithinGuarantee,
-    BeyondGuarantee,
+    Guaranteed,
+    Beyond,
     /// Nothing is guaranteed to its team: it gets what the others leave.
-    NoGuarantee,
+    Unguaranteed,
 }
 
 /// A job's position among those of its tier: the smaller goes first.
@@ -127,16 +127,16 @@
         // class, hardest to find room for, would come too late.
         let share_of_largest = f64::from(job.spec.tasks) / f64::from(largest_of_class.max(1));
         let cost = -job.age_s(now) - LARGEST_BONUS_S * share_of_largest;
-        Rank { tier, standing: Standing::WithinGuarantee, turn: Turn { missed_aims: 0, cost }, job: job.ix }
+        Rank { tier, standing: Standing::Guaranteed, turn: Turn { missed_aims: 0, cost }, job: job.ix }
     }
 
     fn standing(&self, job: &Job) -> Standing {
         if job.within_guarantee {
-            Standing::WithinGuarantee
+            Standing::Guaranteed
         } else if self.is_without_guarantee(job.spec.team) {
-            Standing::NoGuarantee
+            Standing::Unguaranteed
         } else {
-            Standing::BeyondGuarantee
+            Standing::Beyond
         }
     }
 
--- a/src/node/background.rs
+++ b/src/node/background.rs
@@ -16,7 +16,7 @@
     /// How long the event loop may wait for events before the next tick.
     pub(super) fn max_wait_ms(&self) -> u64 {
         match &self.leader {
-            Some(leader) if leader.pass_needed => PASS_WAIT_MS,
+            Some(leader) if leader.waits_for_pass() => PASS_WAIT_MS,
             Some(_) => LEADER_WAIT_MS,
             None => FOLLOWER_WAIT_MS,
         }
--- a/src/node/commits.rs
+++ b/src/node/commits.rs
@@ -27,7 +27,7 @@
     pub(super) fn commit(&mut self, net: &mut Net, stamp: u64) {
         let now = net.now();
         let Some(leader) = &mut self.leader else { return };
-        if leader.commit_busy() || now < leader.commit_after {
+        if !leader.may_commit(now) {
             return;
         }
         if let Some(key) = leader.resync_key() {
--- a/src/node/leading.rs
+++ b/src/node/leading.rs
@@ -98,8 +98,7 @@
         let commits = &mut self.budgets.commits;
         let scarce = commits.available(now, Urgency::Commit) < SCARCE_WRITES * commits.burst();
         let min_gap_ms = if scarce { SCARCE_PASS_GAP_MS } else { PASS_GAP_MS };
-        let gap_ms = now.saturating_sub(leader.last_pass);
-        if (leader.pass_needed && gap_ms >= min_gap_ms) || gap_ms >= MAX_PASS_GAP_MS {
+        if leader.needs_pass(now, min_gap_ms, MAX_PASS_GAP_MS) {
             leader.pass(now);
         }
     }
--- a/src/node/machine_types.rs
+++ b/src/node/machine_types.rs
@@ -57,8 +57,7 @@
             }
         }
         if let Some(leader) = &mut self.leader {
-            leader.types.clone_from(&types);
-            leader.snapshot.types_changed(&types);
+            leader.set_types(&types);
         }
         self.types = types;
     }
--- a/tests/simulation/controller.rs
+++ b/tests/simulation/controller.rs
@@ -128,7 +128,7 @@
             let found = self.store.keys.get(&key).cloned();
             l.resynced(now, &key, found);
         }
-        if l.commit_busy() || now < l.commit_after {
+        if !l.may_commit(now) {
             return;
         }
         // Now and then there is budget to spare.
