--- a/src/coordination/pass/mod.rs
+++ b/src/coordination/pass/mod.rs
@@ -90,6 +90,17 @@
         self.team_used.get(team.at()).copied().unwrap_or_default()
     }
 
+    /// Whether something changed since the last pass that may let a job be placed.
+    pub fn waits_for_pass(&self) -> bool {
+        self.pass_needed
+    }
+
+    /// Whether a pass is due: something changed, or the longest gap is over.
+    pub fn needs_pass(&self, now: Ms, min_gap_ms: Ms, max_gap_ms: Ms) -> bool {
+        let gap_ms = now.saturating_sub(self.last_pass);
+        (self.pass_needed && gap_ms >= min_gap_ms) || gap_ms >= max_gap_ms
+    }
+
     /// Tries to place every waiting job.
     pub fn pass(&mut self, now: Ms) {
         self.pass_needed = false;
@@ -265,8 +276,11 @@
     /// Machines on which the job's tasks failed. Once they failed nearly
     /// everywhere, the machines aren't the reason.
     fn avoided_machines(&self, job: &Job) -> Vec<MachineIx> {
-        let up = self.machines.iter().filter(|machine| machine.lifecycle == MachineLifecycle::Up).count();
         let failed_on = &job.failures.machines;
+        if failed_on.is_empty() {
+            return Vec::new();
+        }
+        let up = self.machines.iter().filter(|machine| machine.lifecycle == MachineLifecycle::Up).count();
         if failed_on.len() >= FAILED_MACHINES_MAX || failed_on.len() * 2 >= up {
             return Vec::new();
         }
