Machines that all come late are waited for, and not ordered again and again

Cause: a machine not up after three times its boot time went back. When all were slower than that, none ever came, and each was ordered anew after twice its boot time. Test: 'machines that all come late' (never came, with the factor put back).

--- a/src/coordination/fleet/arrivals.rs
+++ b/src/coordination/fleet/arrivals.rs
@@ -6,12 +6,6 @@
     model::{MachineLifecycle, Ms, Res, RESOURCE_TOLERANCE},
 };
 
-/// A machine is no longer counted on after this many milliseconds per second of
-/// its type's boot time (twice that time), and...
-const LATE_MS_PER_BOOT_S: f64 = 2_000.0;
-/// ...this long.
-const LATE_SLACK_MS: f64 = 5_000.0;
-
 /// Machines of one offer that are not up yet.
 struct ArrivingMachines {
     offer: Offer,
@@ -93,9 +87,8 @@
                 continue;
             }
             let Some(machine_type) = self.type_of(machine) else { continue };
-            let waited_ms = now.saturating_sub(machine.rented_at) as f64;
-            let is_late = waited_ms > machine_type.boot_s * LATE_MS_PER_BOOT_S + LATE_SLACK_MS;
-            if !is_late {
+            // A late machine is not counted on: it may never come.
+            if !self.is_late(now, machine, machine_type) {
                 let offer = Offer { machine_type: machine_type.ix, zone: machine.zone, spot: machine.spot };
                 arrivals.add(offer, machine_type.cap, 1);
             }
--- a/src/coordination/fleet/mod.rs
+++ b/src/coordination/fleet/mod.rs
@@ -2,13 +2,14 @@
 
 mod arrivals;
 mod consolidation;
+mod lateness;
 mod listing;
 mod offers;
 mod renting;
 mod returns;
 mod zone_demand;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use self::offers::Offer;
 use super::{
@@ -79,6 +80,10 @@
     /// became of them.
     retries: Vec<RentRetry>,
     backoffs: HashMap<Offer, Backoff>,
+    /// Types whose machines come up late, as a rule, at present.
+    late_types: HashSet<TypeIx>,
+    /// Types that are not rented before, since they come up late.
+    type_pauses: HashMap<TypeIx, Ms>,
     /// What found no room in the last pass, in the order of the pass.
     pub unmet: Vec<UnmetDemand>,
     next_list: Ms,
@@ -123,6 +128,8 @@
             calls: HashMap::new(),
             retries: Vec::new(),
             backoffs: HashMap::new(),
+            late_types: HashSet::new(),
+            type_pauses: HashMap::new(),
             unmet: Vec::new(),
             next_list: now,
             list_from: None,
@@ -144,6 +151,14 @@
         now < crowded_at + UNCROWDED_MS
     }
 
+    /// Whether the offer may be asked for: the cloud had no lack of it lately,
+    /// and its type is not paused.
+    fn is_available(&self, now: Ms, offer: &Offer) -> bool {
+        let is_refused = self.backoffs.get(offer).is_some_and(|backoff| now < backoff.until);
+        let is_paused = self.type_pauses.get(&offer.machine_type).is_some_and(|&until| now < until);
+        !is_refused && !is_paused
+    }
+
     /// A name for a rental request. Names carry this leadership's random number:
     /// no controller ever uses one twice.
     fn next_request_name(&mut self) -> String {
@@ -163,6 +178,7 @@
         if now >= self.fleet.next_return {
             self.fleet.next_return = now + RETURN_INTERVAL_MS;
             self.note_zones(now);
+            self.note_late_types(now);
             self.return_machines(now);
         }
         self.note_crowding(now);
--- a/src/coordination/fleet/offers.rs
+++ b/src/coordination/fleet/offers.rs
@@ -90,8 +90,7 @@
                 for spot in [false, true] {
                     let Some(candidate) = self.rate_offer(machine_type, zone, spot, demand) else { continue };
                     cheapest = cheapest.min(candidate.cost);
-                    let backoff = self.fleet.backoffs.get(&candidate.offer);
-                    let is_available = backoff.is_none_or(|backoff| now >= backoff.until);
+                    let is_available = self.fleet.is_available(now, &candidate.offer);
                     if is_available && best.is_none_or(|best| candidate.cost < best.cost) {
                         best = Some(candidate);
                     }
--- a/src/coordination/fleet/returns.rs
+++ b/src/coordination/fleet/returns.rs
@@ -29,7 +29,10 @@
 const UNKNOWN_BOOT_S: f64 = 60.0;
 /// A machine that isn't up after this many times its boot time, and...
 const BOOT_LIMIT_FACTOR: f64 = 3.0;
-/// ...this many seconds never comes up.
+/// ...this many seconds never comes up, unless its type is late as a whole:
+/// then after this many times the boot time.
+const LATE_BOOT_LIMIT_FACTOR: f64 = 8.0;
+/// The seconds added to the boot limit.
 const BOOT_LIMIT_SLACK_S: f64 = 15.0;
 /// Idle machines are kept for this many times what getting them again takes.
 const KEEP_FACTOR: f64 = 1.4;
@@ -280,7 +283,11 @@
 
     fn is_past_boot_limit(&self, now: Ms, machine: &Machine) -> bool {
         let boot_s = self.type_of(machine).map_or(UNKNOWN_BOOT_S, |machine_type| machine_type.boot_s);
-        let limit_ms = (boot_s * BOOT_LIMIT_FACTOR + BOOT_LIMIT_SLACK_S) * 1000.0;
+        // Guard: when all machines were slow to come up, each was handed back
+        // before it did, and none ever came.
+        let is_late_type = machine.machine_type.is_some_and(|ix| self.fleet.late_types.contains(&ix));
+        let factor = if is_late_type { LATE_BOOT_LIMIT_FACTOR } else { BOOT_LIMIT_FACTOR };
+        let limit_ms = (boot_s * factor + BOOT_LIMIT_SLACK_S) * 1000.0;
         let since = machine.rented_at.max(self.started);
         (now - since) as f64 > limit_ms
     }
--- a/tests/safety_rules/renting.rs
+++ b/tests/safety_rules/renting.rs
@@ -46,3 +46,27 @@
     sim.run(10_000);
     assert!(sim.workers.len() <= 4 + 8, "{} machines", sim.workers.len());
 }
+
+/// Guard: when all machines came up eight times as late as they should, each was
+/// handed back before it did; what was awaited was rented again and again, and
+/// none ever came.
+pub fn machines_that_all_come_late(sim: &mut Simulation) {
+    (sim.capacity, sim.boot_ms) = (60, 50_000);
+    sim.submit(submission("j-1", "service", 28), 0);
+    sim.run_until("all run once the machines are there", 75_000, |sim| sim.all_running("j-1", 28));
+    // Three machines are missing; for replicas twice as many are ordered, and
+    // once more when those are late.
+    assert!(sim.workers.len() <= 4 + 3 * 6, "{} machines", sim.workers.len());
+    // One that never comes up, among others that do in time, goes back.
+    sim.boot_ms = 4_000;
+    sim.run(130_000);
+    let dead = |sim: &Simulation| sim.workers.iter().filter(|worker| worker.dead).count();
+    let dead_before = dead(sim);
+    sim.submit(submission("j-2", "batch", 60), 40_000);
+    sim.run_until("new machines come", 20_000, |sim| sim.rentals.len() > 3);
+    sim.run(500);
+    let last = sim.workers.len() - 1;
+    sim.workers[last].delay_boot();
+    sim.run_until("it goes back", 60_000, |sim| sim.workers[last].dead);
+    assert_eq!(dead(sim), dead_before + 1, "the others are kept");
+}
--- a/tests/simulation/cloud.rs
+++ b/tests/simulation/cloud.rs
@@ -29,6 +29,7 @@
             zone: zone.into(),
             machine_type: MACHINE_TYPE.into(),
             spot: false,
+            up_at: 0,
             session: 1,
             seq: 0,
             token: 0,
@@ -96,6 +97,7 @@
         let ids: Vec<String> = (0..n).map(|_| self.add_worker(&req.zone)).collect();
         for w in self.workers.iter_mut().filter(|w| ids.contains(&w.id)) {
             w.spot = req.spot;
+            w.up_at = self.now + self.boot_ms;
             w.machine_type.clone_from(&req.machine_type);
         }
         self.rentals.insert(req.request.clone(), ids.clone());
--- a/tests/simulation/controller.rs
+++ b/tests/simulation/controller.rs
@@ -307,7 +307,7 @@
                         machine_type: w.machine_type.clone(),
                         zone: w.zone.clone(),
                         spot: w.spot,
-                        state: HostState::Running,
+                        state: if now < w.up_at { HostState::Booting } else { HostState::Running },
                         age_s: 1.0,
                     })
                     .collect();
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -72,6 +72,8 @@
     pub red_gpus_guaranteed: f64,
     /// Spot machines the cloud still has to give, of `capacity`.
     pub spot_capacity: u32,
+    /// How long a rented machine takes to come up.
+    pub boot_ms: Ms,
     /// The cloud offers the cheap type, too.
     pub offers_cheap_type: bool,
     /// Price of a spot machine; others cost 1.
@@ -181,6 +183,7 @@
             blue_gpus_max: 0.0,
             red_gpus_guaranteed: 0.0,
             spot_capacity: u32::MAX,
+            boot_ms: 0,
             offers_cheap_type: false,
             spot_price: 0.5,
             die_before_txn: false,
--- a/tests/simulation/worker.rs
+++ b/tests/simulation/worker.rs
@@ -37,6 +37,8 @@
     pub zone: String,
     pub machine_type: String,
     pub spot: bool,
+    /// It is booting until then.
+    pub(super) up_at: Ms,
     pub session: u64,
     pub seq: u64,
     pub token: u64,
@@ -70,6 +72,11 @@
         !(self.dead || self.partitioned || self.hung || self.inbound_lost)
     }
 
+    /// It never comes up.
+    pub fn delay_boot(&mut self) {
+        self.up_at = Ms::MAX;
+    }
+
     /// It comes back at once, with a new session and nothing on it.
     pub fn restart(&mut self, now: Ms) {
         self.tasks.clear();
@@ -112,6 +119,10 @@
 
     pub(super) fn advance(&mut self, n: usize) {
         let now = self.now;
+        if now < self.workers[n].up_at {
+            self.workers[n].lease_start = now;
+            return;
+        }
         if self.workers[n].dead || self.workers[n].hung {
             if self.workers[n].hung {
                 self.expire(n);
