--- a/src/coordination/fleet/mod.rs
+++ b/src/coordination/fleet/mod.rs
@@ -82,8 +82,6 @@
     backoffs: HashMap<Offer, Backoff>,
     /// Types whose machines come up late, as a rule, at present.
     late_types: HashSet<TypeIx>,
-    /// Types that are not rented before, since they come up late.
-    type_pauses: HashMap<TypeIx, Ms>,
     /// What found no room in the last pass, in the order of the pass.
     pub unmet: Vec<UnmetDemand>,
     next_list: Ms,
@@ -129,7 +127,6 @@
             retries: Vec::new(),
             backoffs: HashMap::new(),
             late_types: HashSet::new(),
-            type_pauses: HashMap::new(),
             unmet: Vec::new(),
             next_list: now,
             list_from: None,
@@ -151,12 +148,9 @@
         now < crowded_at + UNCROWDED_MS
     }
 
-    /// Whether the offer may be asked for: the cloud had no lack of it lately,
-    /// and its type is not paused.
+    /// Whether the cloud had no lack of this offer lately.
     fn is_available(&self, now: Ms, offer: &Offer) -> bool {
-        let is_refused = self.backoffs.get(offer).is_some_and(|backoff| now < backoff.until);
-        let is_paused = self.type_pauses.get(&offer.machine_type).is_some_and(|&until| now < until);
-        !is_refused && !is_paused
+        self.backoffs.get(offer).is_none_or(|backoff| now >= backoff.until)
     }
 
     /// A name for a rental request. Names carry this leadership's random number:
--- a/src/coordination/fleet/renting.rs
+++ b/src/coordination/fleet/renting.rs
@@ -23,8 +23,6 @@
 const BACKOFF_MS: Ms = 6_000;
 /// The same after repeated refusals, each wait half as long again as the last.
 const BACKOFF_MAX_MS: Ms = 25_000;
-/// Pause after machines of a type were rented that come up late at present.
-const LATE_TYPE_PAUSE_MS: Ms = 45_000;
 /// Pause before an unanswered request is sent again.
 const RETRY_MS: Ms = 1_500;
 /// A new leader that inherits machines lets them report for this long first.
@@ -199,10 +197,6 @@
         let Some(Call::Rent { offer, req }) = self.fleet.calls.remove(&call) else { return };
         match outcome {
             RentOutcome::Rented(ids) => {
-                if self.fleet.late_types.contains(&offer.machine_type) {
-                    // Guard: what does not come would be rented again and again.
-                    self.fleet.type_pauses.insert(offer.machine_type, now + LATE_TYPE_PAUSE_MS);
-                }
                 if (ids.len() as u32) < req.count {
                     self.back_off(now, offer, BACKOFF_MS);
                 } else {
--- a/src/coordination/fleet/returns.rs
+++ b/src/coordination/fleet/returns.rs
@@ -30,8 +30,10 @@
 /// A machine that isn't up after this many times its boot time, and...
 const BOOT_LIMIT_FACTOR: f64 = 3.0;
 /// ...this many seconds never comes up, unless its type is late as a whole:
-/// then after this many times the boot time.
-const LATE_BOOT_LIMIT_FACTOR: f64 = 8.0;
+/// then one in so many machines is given...
+const LATE_KEPT_DIVISOR: usize = 4;
+/// ...this many times the boot time.
+const LATE_BOOT_LIMIT_FACTOR: f64 = 9.0;
 /// The seconds added to the boot limit.
 const BOOT_LIMIT_SLACK_S: f64 = 15.0;
 /// Idle machines are kept for this many times what getting them again takes.
@@ -148,15 +150,15 @@
         let heard_by_zone = self.heard_by_zone(now);
         let answers = self.answer_uptake(now);
         let mut returns = Vec::new();
-        for (n, machine) in self.machines.iter().enumerate() {
+        for ix in (0..self.machines.len() as u32).map(MachineIx) {
             if returns.len() >= RETURNS_PER_CALL {
                 break;
             }
-            if now < machine.return_after {
+            if now < self.machine(ix).return_after {
                 continue;
             }
-            if let Some(reason) = self.return_reason(now, machine, &heard_by_zone, &answers) {
-                returns.push(MachineReturn { machine: MachineIx(n as u32), reason });
+            if let Some(reason) = self.return_reason(now, ix, &heard_by_zone, &answers) {
+                returns.push(MachineReturn { machine: ix, reason });
             }
         }
         returns
@@ -165,17 +167,18 @@
     fn return_reason(
         &self,
         now: Ms,
-        machine: &Machine,
+        ix: MachineIx,
         heard_by_zone: &HeardByZone,
         answers: &AnswerUptake,
     ) -> Option<ReturnReason> {
+        let machine = self.machine(ix);
         let cloud_answers = self.fleet.cloud_ok + CLOUD_ANSWER_MS > now;
         let is_dead = || self.is_silent(now, machine) && cloud_answers && self.is_dead(now, machine, heard_by_zone);
         match machine.lifecycle {
             MachineLifecycle::Gone => None,
             MachineLifecycle::Returning => Some(ReturnReason::AskedBefore),
             MachineLifecycle::Booting if machine.is_inherited_unheard() => is_dead().then_some(ReturnReason::Silent),
-            MachineLifecycle::Booting => self.is_past_boot_limit(now, machine).then_some(ReturnReason::NeverCameUp),
+            MachineLifecycle::Booting => self.is_past_boot_limit(now, ix).then_some(ReturnReason::NeverCameUp),
             MachineLifecycle::Up if is_dead() => Some(ReturnReason::Silent),
             MachineLifecycle::Up if machine.misses_answers() && cloud_answers && answers.others_take_them() => {
                 Some(ReturnReason::MissesAnswers)
@@ -281,12 +284,15 @@
         uptake
     }
 
-    fn is_past_boot_limit(&self, now: Ms, machine: &Machine) -> bool {
+    fn is_past_boot_limit(&self, now: Ms, ix: MachineIx) -> bool {
+        let machine = self.machine(ix);
         let boot_s = self.type_of(machine).map_or(UNKNOWN_BOOT_S, |machine_type| machine_type.boot_s);
         // Guard: when all machines were slow to come up, each was handed back
-        // before it did, and none ever came.
-        let is_late_type = machine.machine_type.is_some_and(|ix| self.fleet.late_types.contains(&ix));
-        let factor = if is_late_type { LATE_BOOT_LIMIT_FACTOR } else { BOOT_LIMIT_FACTOR };
+        // before it did, and none ever came. Some are waited for; the others go
+        // back, since those ordered after the trouble come sooner.
+        let is_late_type = machine.machine_type.is_some_and(|known| self.fleet.late_types.contains(&known));
+        let is_waited_for = is_late_type && ix.at() % LATE_KEPT_DIVISOR == 0;
+        let factor = if is_waited_for { LATE_BOOT_LIMIT_FACTOR } else { BOOT_LIMIT_FACTOR };
         let limit_ms = (boot_s * factor + BOOT_LIMIT_SLACK_S) * 1000.0;
         let since = machine.rented_at.max(self.started);
         (now - since) as f64 > limit_ms
