--- a/src/coordination/fleet/mod.rs
+++ b/src/coordination/fleet/mod.rs
@@ -2,13 +2,14 @@
 
 mod arrivals;
 mod consolidation;
+mod lateness;
 mod listing;
 mod offers;
 mod renting;
 mod returns;
 mod zone_demand;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use self::offers::Offer;
 use super::{
@@ -79,6 +80,8 @@
     /// became of them.
     retries: Vec<RentRetry>,
     backoffs: HashMap<Offer, Backoff>,
+    /// Types whose machines come up late, as a rule, at present.
+    late_types: HashSet<TypeIx>,
     /// What found no room in the last pass, in the order of the pass.
     pub unmet: Vec<UnmetDemand>,
     next_list: Ms,
@@ -123,6 +126,7 @@
             calls: HashMap::new(),
             retries: Vec::new(),
             backoffs: HashMap::new(),
+            late_types: HashSet::new(),
             unmet: Vec::new(),
             next_list: now,
             list_from: None,
@@ -144,6 +148,11 @@
         now < crowded_at + UNCROWDED_MS
     }
 
+    /// Whether the cloud had no lack of this offer lately.
+    fn is_available(&self, now: Ms, offer: &Offer) -> bool {
+        self.backoffs.get(offer).is_none_or(|backoff| now >= backoff.until)
+    }
+
     /// A name for a rental request. Names carry this leadership's random number:
     /// no controller ever uses one twice.
     fn next_request_name(&mut self) -> String {
@@ -163,6 +172,7 @@
         if now >= self.fleet.next_return {
             self.fleet.next_return = now + RETURN_INTERVAL_MS;
             self.note_zones(now);
+            self.note_late_types(now);
             self.return_machines(now);
         }
         self.note_crowding(now);
