--- a/src/coordination/fleet/offers.rs
+++ b/src/coordination/fleet/offers.rs
@@ -137,10 +137,11 @@
     let base = base_price_tolerance(demand.spec.priority);
     match demand.guarantee {
         Guarantee::Some => base + demand.waited_s * TOLERANCE_PER_S,
-        Guarantee::NoneNotBegun => {
-            (base + demand.waited_s * UNGUARANTEED_TOLERANCE_PER_S).min(UNGUARANTEED_TOLERANCE_MAX)
+        Guarantee::NoneBegun if demand.spec.priority == Priority::Low => base,
+        Guarantee::NoneNotBegun | Guarantee::NoneBegun => {
+            let grown = base + demand.waited_s * UNGUARANTEED_TOLERANCE_PER_S;
+            grown.min(UNGUARANTEED_TOLERANCE_MAX.max(base))
         }
-        Guarantee::NoneBegun => base,
     }
 }
 
--- a/src/coordination/pass/unguaranteed.rs
+++ b/src/coordination/pass/unguaranteed.rs
@@ -5,6 +5,7 @@
     coordination::{
         leader::Leader,
         model::{Job, Ms, RESOURCE_TOLERANCE},
+        snapshot::Pool,
     },
     protocol::jobs::Kind,
 };
@@ -12,6 +13,8 @@
 /// What arrived in this time is expected again within as long: about what a
 /// machine takes to come.
 const EXPECTED_AGAIN_MS: i64 = 30_000;
+/// Most of the capacity that is kept free of work without a guarantee.
+const RESERVED_SHARE_MAX: f64 = 0.15;
 /// A job without a guarantee that got no room for this long gets some all the
 /// same: none may be left waiting beside room.
 const LONGEST_WAIT_MS: Ms = 60_000;
@@ -31,17 +34,25 @@
     /// can't have them stopped: they took all free room as it came, and others
     /// waited until they ended.
     pub(super) fn unguaranteed_cpus(&self, now: Ms) -> f64 {
-        (self.free_cpus() - self.expected_cpus(now)).max(0.0)
+        let (mut free, mut capacity) = (0.0, 0.0);
+        for pool in self.pools_for_arrays() {
+            free += pool.room.cpus;
+            capacity += pool.cap.cpus * pool.members.len() as f64;
+        }
+        // Guard: where others ask for more than they then use, what is kept for
+        // them would stand idle.
+        let reserved = self.expected_cpus(now).min(RESERVED_SHARE_MAX * capacity);
+        (free - reserved).max(0.0)
     }
 
-    /// Free CPUs of machines without GPUs, where there are such machines.
-    fn free_cpus(&self) -> f64 {
-        let pools = || self.snapshot.pools.iter().filter(|pool| !pool.members.is_empty());
-        let without_gpus = || pools().filter(|pool| pool.cap.gpus <= RESOURCE_TOLERANCE);
-        if without_gpus().next().is_some() {
-            without_gpus().map(|pool| pool.room.cpus).sum()
+    /// Pools of machines without GPUs; all pools, where there are no such machines.
+    fn pools_for_arrays(&self) -> Vec<&Pool> {
+        let pools = self.snapshot.pools.iter().filter(|pool| !pool.members.is_empty());
+        let (with_gpus, without): (Vec<&Pool>, Vec<&Pool>) = pools.partition(|pool| pool.cap.gpus > RESOURCE_TOLERANCE);
+        if without.is_empty() {
+            with_gpus
         } else {
-            pools().map(|pool| pool.room.cpus).sum()
+            without
         }
     }
 
