--- a/src/coordination/pass/unguaranteed.rs
+++ b/src/coordination/pass/unguaranteed.rs
@@ -13,8 +13,9 @@
 /// What arrived in this time is expected again within as long: about what a
 /// machine takes to come.
 const EXPECTED_AGAIN_MS: i64 = 30_000;
-/// Share of all CPUs that work without a guarantee may take as it comes.
-const UNGUARANTEED_SHARE: f64 = 0.4;
+/// Share of the CPUs that work without a guarantee may take as it comes: it must
+/// not starve beside room that is kept for others.
+const UNGUARANTEED_SHARE: f64 = 0.2;
 /// Most of the capacity that is kept free of work without a guarantee.
 const RESERVED_SHARE_MAX: f64 = 0.15;
 /// A job without a guarantee that got no room for this long gets some all the
@@ -44,17 +45,14 @@
         // Guard: where others ask for more than they then use, what is kept for
         // them would stand idle.
         let reserved = self.expected_cpus(now).min(RESERVED_SHARE_MAX * capacity);
-        (free - reserved).max(self.cpus_short_of_share()).max(0.0)
+        let short_of_share = UNGUARANTEED_SHARE * capacity - self.unguaranteed_use();
+        (free - reserved).max(short_of_share).max(0.0)
     }
 
-    /// CPUs by which teams without a guarantee are below their share of all there
-    /// are. Guard: they must not starve beside room that is kept for others.
-    fn cpus_short_of_share(&self) -> f64 {
-        let capacity: f64 = self.snapshot.pools.iter().map(|pool| pool.cap.cpus * pool.members.len() as f64).sum();
+    /// CPUs that teams without a guarantee use.
+    fn unguaranteed_use(&self) -> f64 {
         let teams = (0..self.team_used.len() as u32).map(TeamIx);
-        let used: f64 =
-            teams.filter(|&team| self.is_without_guarantee(team)).map(|team| self.used_by_team(team).cpus).sum();
-        UNGUARANTEED_SHARE * capacity - used
+        teams.filter(|&team| self.is_without_guarantee(team)).map(|team| self.used_by_team(team).cpus).sum()
     }
 
     /// Pools of machines without GPUs; all pools, where there are no such machines.
