--- a/src/coordination/pass/unguaranteed.rs
+++ b/src/coordination/pass/unguaranteed.rs
@@ -21,8 +21,10 @@
 /// A job without a guarantee that got no room for this long gets some all the
 /// same: none may be left waiting beside room.
 const LONGEST_WAIT_MS: Ms = 60_000;
-/// The part of its tasks that it gets then.
+/// The part of its tasks that it gets then...
 const LONG_WAIT_DIVISOR: u32 = 64;
+/// ...but at least so many: small jobs get all that they want.
+const LONG_WAIT_TASKS_MIN: u32 = 64;
 
 impl Leader {
     /// Whether a job gets only what others leave: an array of a team to which
@@ -83,7 +85,7 @@
         let fitting = (cpus / job.spec.cpus.max(RESOURCE_TOLERANCE)) as usize;
         let has_waited = !job.ever_assigned || now >= job.last_assigned + LONGEST_WAIT_MS;
         if has_waited {
-            fitting.max((job.spec.tasks / LONG_WAIT_DIVISOR).max(1) as usize)
+            fitting.max((job.spec.tasks / LONG_WAIT_DIVISOR).max(LONG_WAIT_TASKS_MIN) as usize)
         } else {
             fitting
         }
