--- a/tests/safety_rules/main.rs
+++ b/tests/safety_rules/main.rs
@@ -66,6 +66,7 @@
         ("leaders in a row", leaders_that_follow_one_another_quickly),
         ("the largest", the_largest_begin_in_time),
         ("the largest, in a backlog", the_largest_begin_in_time_in_a_backlog),
+        ("long list", a_long_list_comes_to_its_end),
         ("machines that all come late", machines_that_all_come_late),
         ("zones of rentals", machines_come_in_the_zones_that_need_them),
         ("leases kept", leases_kept_behind_a_cut),
--- a/tests/safety_rules/renting.rs
+++ b/tests/safety_rules/renting.rs
@@ -68,3 +68,20 @@
     sim.run_until("it goes back", 60_000, |sim| sim.workers[last].dead);
     assert_eq!(dead(sim), dead_before + 1, "the others are kept");
 }
+
+/// Guard: a page of the cloud's list that was refused had the whole list begin
+/// anew. Where rentals use up the cloud's limit, the last pages never came, and
+/// what is on them was paid for and unknown.
+pub fn a_long_list_comes_to_its_end(sim: &mut Simulation) {
+    for n in 0..12 {
+        sim.add_worker(["a", "b"][n % 2]);
+    }
+    (sim.capacity, sim.list_page, sim.refuses_every_second_page) = (1, 3, true);
+    // They are known by the list alone, and never report: each is handed back.
+    sim.workers[4..].iter_mut().for_each(|worker| worker.partitioned = true);
+    sim.elect();
+    sim.submit(submission("j-1", "batch", 1), 1_000);
+    let all_went = |sim: &Simulation| sim.workers[4..16].iter().all(|worker| worker.dead);
+    sim.run_until("all of them are known, and go back", 90_000, all_went);
+    assert!(sim.workers[..4].iter().all(|worker| !worker.dead));
+}
--- a/tests/simulation/cloud.rs
+++ b/tests/simulation/cloud.rs
@@ -2,7 +2,7 @@
 
 use shedhook::{
     coordination::model::{Ms, Res, TypeInfo},
-    protocol::cloud::RentRequest,
+    protocol::cloud::{HostList, HostState, ListedHost, RentRequest},
 };
 
 use super::{worker::Worker, Simulation};
@@ -74,6 +74,28 @@
         types
     }
 
+    /// A page of the list of machines; `None`: refused.
+    pub(super) fn list(&mut self, from: Option<&str>) -> Option<HostList> {
+        self.pages_asked += 1;
+        if self.refuses_every_second_page && self.pages_asked.is_multiple_of(2) {
+            return None;
+        }
+        let now = self.now;
+        let after = |w: &&Worker| !w.dead && from.is_none_or(|from| w.id.as_str() > from);
+        let listed = |w: &Worker| ListedHost {
+            id: w.id.clone(),
+            addr: None,
+            machine_type: w.machine_type.clone(),
+            zone: w.zone.clone(),
+            spot: w.spot,
+            state: if now < w.up_at { HostState::Booting } else { HostState::Running },
+            age_s: 1.0,
+        };
+        let rest: Vec<ListedHost> = self.workers.iter().filter(after).map(listed).collect();
+        let truncated = rest.len() > self.list_page;
+        Some(HostList { hosts: rest.into_iter().take(self.list_page).collect(), truncated })
+    }
+
     pub(super) fn rent(&mut self, req: &RentRequest) -> Option<Vec<String>> {
         let stamp = self.leader.as_ref().map_or(0, |l| l.stamp);
         self.rental_requests.push(RentalRequest {
--- a/tests/simulation/controller.rs
+++ b/tests/simulation/controller.rs
@@ -15,10 +15,7 @@
         lease_renewal::TimeSpan,
         model::TeamLimits,
     },
-    protocol::{
-        cloud::{HostList, HostState, ListedHost},
-        store::Op,
-    },
+    protocol::store::Op,
 };
 
 use super::{faults::Held, worker::Worker, Simulation, LEASE, REPORT};
@@ -296,24 +293,10 @@
                     l.probed(now, machine, report.as_ref(), &self.job_cache, &mut self.tables);
                 }
             }
-            Effect::List { call, .. } => {
-                let hosts = self
-                    .workers
-                    .iter()
-                    .filter(|w| !w.dead)
-                    .map(|w| ListedHost {
-                        id: w.id.clone(),
-                        addr: None,
-                        machine_type: w.machine_type.clone(),
-                        zone: w.zone.clone(),
-                        spot: w.spot,
-                        state: if now < w.up_at { HostState::Booting } else { HostState::Running },
-                        age_s: 1.0,
-                    })
-                    .collect();
-                let list = HostList { hosts, truncated: false };
+            Effect::List { call, from } => {
+                let list = self.list(from.as_deref());
                 if let Some(l) = &mut self.leader {
-                    l.listed(now, call, Some(&list), &mut self.tables);
+                    l.listed(now, call, list.as_ref(), &mut self.tables);
                 }
             }
         }
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -72,6 +72,11 @@
     pub red_gpus_guaranteed: f64,
     /// Spot machines the cloud still has to give, of `capacity`.
     pub spot_capacity: u32,
+    /// Machines on one page of the cloud's list.
+    pub list_page: usize,
+    /// The cloud refuses every second page.
+    pub refuses_every_second_page: bool,
+    pages_asked: u32,
     /// How long a rented machine takes to come up.
     pub boot_ms: Ms,
     /// The cloud offers the cheap type, too.
@@ -183,6 +188,9 @@
             blue_gpus_max: 0.0,
             red_gpus_guaranteed: 0.0,
             spot_capacity: u32::MAX,
+            list_page: usize::MAX,
+            refuses_every_second_page: false,
+            pages_asked: 0,
             boot_ms: 0,
             offers_cheap_type: false,
             spot_price: 0.5,
