--- a/tests/safety_rules/main.rs
+++ b/tests/safety_rules/main.rs
@@ -76,8 +76,8 @@
         ("jobs that fail everywhere", jobs_that_fail_everywhere),
         ("faulty machine", a_machine_that_is_faulty),
         ("team without a guarantee", a_team_without_a_guarantee),
-        ("room left for others", guests_leave_room_for_others),
-        ("dear machines and guests", dear_machines_are_not_kept_for_guests),
+        ("room left for others", unguaranteed_work_leaves_room),
+        ("expensive machines, unguaranteed work", expensive_machines_are_not_kept_for_it),
     ];
     run_table(cases);
 }
--- a/tests/safety_rules/unguaranteed_teams.rs
+++ b/tests/safety_rules/unguaranteed_teams.rs
@@ -12,10 +12,10 @@
     (sim.capacity, sim.spot_capacity) = (40, 2);
     sim.elect();
     sim.run(5_000);
-    let mut guest = submission("j-1", "batch", 400);
-    (guest.team, guest.priority) = (Some("blue".into()), Some("low".into()));
-    sim.submit(guest, 15_000);
-    sim.run_until("the guest's work begins", 10_000, |sim| sim.worker_running("j-1/0").is_some());
+    let mut job = submission("j-1", "batch", 400);
+    (job.team, job.priority) = (Some("blue".into()), Some("low".into()));
+    sim.submit(job, 15_000);
+    sim.run_until("its work begins", 10_000, |sim| sim.worker_running("j-1/0").is_some());
     sim.run(90_000);
     let on_demand = |sim: &Simulation| sim.rental_requests.iter().filter(|request| !request.spot).count();
     assert_eq!(on_demand(sim), 0, "on-demand machines at ten times the price");
@@ -26,12 +26,12 @@
     sim.submit(own, 5_000);
     sim.run_until("a team with a guarantee goes first", 60_000, |sim| sim.status("j-2") == Status::Done);
     assert_eq!(sim.status("j-1"), Status::Pending);
-    sim.run_until("the guest is served in the end", 400_000, |sim| sim.status("j-1") == Status::Done);
+    sim.run_until("it is served in the end", 400_000, |sim| sim.status("j-1") == Status::Done);
 }
 
 /// Guard: tasks of a team without a guarantee that run for minutes took all
 /// room as it became free; work of others of the same priority waited for them.
-pub fn guests_leave_room_for_others(sim: &mut Simulation) {
+pub fn unguaranteed_work_leaves_room(sim: &mut Simulation) {
     sim.red_gpus_guaranteed = 4.0;
     for n in 0..296 {
         sim.add_worker(["a", "b"][n % 2]);
@@ -52,27 +52,27 @@
         sim.run_until("work of others begins at once", 8_000, |sim| sim.worker_running(&format!("{id}/0")).is_some());
         sim.run(10_000);
     }
-    let guests = |sim: &Simulation| (0..4_000).filter(|n| sim.worker_running(&format!("j-1/{n}")).is_some()).count();
-    assert!(guests(sim) >= 640, "{} guests run on 1,200 places of which others use 64", guests(sim));
+    let running = |sim: &Simulation| (0..4_000).filter(|n| sim.worker_running(&format!("j-1/{n}")).is_some()).count();
+    assert!(running(sim) >= 640, "{} of its tasks run on 1,200 places of which others use 64", running(sim));
     sim.run(30_000);
-    sim.run_until("what others leave is used in the end", 150_000, |sim| guests(sim) >= 1_120);
+    sim.run_until("what others leave is used in the end", 150_000, |sim| running(sim) >= 1_120);
 }
 
-/// Guard: machines that were dear, and whose GPUs had no use, were kept for as
+/// Guard: machines that were expensive, and whose GPUs had no use, were kept for as
 /// long as a team without a guarantee had tasks for their CPUs.
-pub fn dear_machines_are_not_kept_for_guests(sim: &mut Simulation) {
+pub fn expensive_machines_are_not_kept_for_it(sim: &mut Simulation) {
     (sim.red_gpus_guaranteed, sim.offers_cheap_type) = (4.0, true);
     sim.elect();
     sim.run(5_000);
-    let mut guest = submission("j-1", "batch", 30);
-    (guest.team, guest.priority) = (Some("blue".into()), Some("low".into()));
-    (guest.checkpoint_s, guest.save_s) = (Some(10.0), Some(3.0));
-    sim.submit(guest, 60_000);
-    sim.run_until("the guest uses what is there", 10_000, |sim| sim.worker_running("j-1/0").is_some());
+    let mut job = submission("j-1", "batch", 30);
+    (job.team, job.priority) = (Some("blue".into()), Some("low".into()));
+    (job.checkpoint_s, job.save_s) = (Some(10.0), Some(3.0));
+    sim.submit(job, 60_000);
+    sim.run_until("it uses what is there", 10_000, |sim| sim.worker_running("j-1/0").is_some());
     sim.capacity = 20;
-    let dear_ones_went =
+    let expensive_ones_went =
         |sim: &Simulation| sim.workers.iter().all(|worker| worker.dead == (worker.machine_type == MACHINE_TYPE));
-    sim.run_until("the dear machines go back", 60_000, dear_ones_went);
+    sim.run_until("the expensive machines go back", 60_000, expensive_ones_went);
     assert!(sim.halts.iter().all(|halt| halt.2 >= 3.0), "its tasks can save what they did");
     sim.run_until("it is served on cheap ones", 200_000, |sim| sim.status("j-1") == Status::Done);
     assert!(sim.workers.iter().any(|worker| worker.machine_type == CHEAP_MACHINE_TYPE));
