--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -353,7 +353,7 @@
             ("heldS", Value::Float(begin.elapsed().as_secs_f64())),
         ])
     };
-    let listed = workers.iter().filter(|worker| !worker.is_gone() && worker.machine().host.as_str() > from);
+    let listed = workers.iter().filter(|worker| worker.is_listed() && worker.machine().host.as_str() > from);
     let hosts = listed.take(500).map(host).collect();
     Response::new(200, &map([("hosts", Value::List(hosts)), ("truncated", Value::Bool(false))]))
 }
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -20,6 +20,10 @@
 const MIN_REPORT_GAP: Duration = Duration::from_millis(500);
 const NEXT_NODE_DELAY: Duration = Duration::from_secs(1);
 
+/// How long the cloud's list shows a machine that died.
+const LISTED_AFTER_DEATH: Duration = Duration::from_secs(30);
+/// How long a caller of a machine that is gone waits at most.
+const SILENCE: Duration = Duration::from_secs(20);
 /// Time that a machine takes to fetch an image, in seconds.
 const FETCH_S: f64 = 0.5;
 
@@ -72,6 +76,8 @@
     /// Labels and addresses of the controllers.
     nodes: Vec<(String, SocketAddr)>,
     is_gone: AtomicBool,
+    /// When the machine died by itself.
+    died: Mutex<Option<Instant>>,
     address: Mutex<Option<SocketAddr>>,
     /// The last report that listed a running task, as it was sent.
     last_running_report: Mutex<Option<Vec<u8>>>,
@@ -105,6 +111,7 @@
             state: Mutex::new(state),
             nodes,
             is_gone: AtomicBool::new(false),
+            died: Mutex::default(),
             address: Mutex::default(),
             last_running_report: Mutex::default(),
             served_by: Mutex::default(),
@@ -135,13 +142,27 @@
         self.0.is_gone.load(Ordering::SeqCst)
     }
 
-    /// Ends the machine and everything on it.
+    /// Ends the machine and everything on it, at the cloud's doing.
     pub fn end(&self) {
         let mut state = self.0.state.lock().unwrap();
         self.0.is_gone.store(true, Ordering::SeqCst);
+        *self.0.died.lock().unwrap() = None;
         self.kill_all(&mut state, "the machine is gone");
     }
 
+    /// Stops the machine with all that is on it. The cloud learns of it later.
+    pub fn die(&self) {
+        self.0.world.record(&format!("{}: the machine dies", self.0.machine.host));
+        self.end();
+        *self.0.died.lock().unwrap() = Some(Instant::now());
+    }
+
+    /// Reports whether the cloud's list shows the machine as running.
+    pub fn is_listed(&self) -> bool {
+        let died = *self.0.died.lock().unwrap();
+        !self.is_gone() || died.is_some_and(|died| died.elapsed() < LISTED_AFTER_DEATH)
+    }
+
     /// Returns the last report that listed a running task, as it was sent.
     pub fn last_running_report(&self) -> Option<Vec<u8>> {
         self.0.last_running_report.lock().unwrap().clone()
@@ -326,10 +347,12 @@
     }
 
     fn handle(&self, request: &Request) -> Option<Response> {
-        let mut state = self.0.state.lock().unwrap();
         if self.is_gone() {
+            // A machine without power stays silent.
+            thread::sleep(SILENCE);
             return None;
         }
+        let mut state = self.0.state.lock().unwrap();
         match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/status") => Some(Response::new(200, &self.report(&mut state))),
             ("POST", "/do") => {
