--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -12,9 +12,9 @@
 };
 
 use crate::{
-    cbor::{self, int, map, text, Value},
+    cbor::{self, map, text, Value},
     http::{self, Request, Response},
-    store::{Access, Limits, Store},
+    store::{Limits, Store},
     worker::{Machine, Times, Worker},
     world::{Job, World},
 };
@@ -27,13 +27,10 @@
 const LIMITS: Limits = Limits { rps: 100.0, write_rps: 30.0, value_kb: 16.0, txn_ops: 24 };
 
 extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64) -> i32;
 }
 
 const SIGKILL: i32 = 9;
-const SIGCONT: i32 = 18;
-const SIGSTOP: i32 = 19;
 const PR_SET_PDEATHSIG: i32 = 1;
 
 /// A team's name, guaranteed GPUs and largest number of GPUs.
@@ -45,7 +42,6 @@
     pub address: SocketAddr,
     config: std::path::PathBuf,
     child: Mutex<Option<Child>>,
-    pub store: Access,
 }
 
 /// The whole deployment; its processes end with it.
@@ -54,7 +50,6 @@
     pub store: Store,
     pub controllers: Vec<Controller>,
     pub workers: Arc<Mutex<Vec<Worker>>>,
-    cloud: SocketAddr,
 }
 
 /// Breeds: name, CPUs, GPUs, memory in GB, price, spot price, boot time in seconds.
@@ -90,11 +85,11 @@
         let store = Store::new(LIMITS);
         let workers: Arc<Mutex<Vec<Worker>>> = Arc::default();
         let cloud = serve_cloud(Arc::clone(&workers), world.clone());
-        let accesses: Vec<Access> = (0..CONTROLLERS).map(|index| store.serve(index)).collect();
+        let accesses: Vec<SocketAddr> = (0..CONTROLLERS).map(|index| store.serve(index)).collect();
         let ports: Vec<(u16, u16)> = (0..CONTROLLERS).map(|_| (free_port(), free_port())).collect();
         let mut controllers = Vec::new();
         for (index, access) in accesses.into_iter().enumerate() {
-            let settings = settings(index, &ports, cloud, access.address, teams);
+            let settings = settings(index, &ports, cloud, access, teams);
             let config = world.folder().join(format!("boma-{index}.toml"));
             fs::write(&config, settings).map_err(|error| error.to_string())?;
             controllers.push(Controller {
@@ -102,10 +97,9 @@
                 address: SocketAddr::from(([127, 0, 0, 1], ports[index].0)),
                 config,
                 child: Mutex::default(),
-                store: access,
             });
         }
-        let deployment = Deployment { world, store, controllers, workers, cloud };
+        let deployment = Deployment { world, store, controllers, workers };
         for index in 0..CONTROLLERS {
             deployment.start_controller(index, &command)?;
         }
@@ -155,12 +149,6 @@
         self.start_controller(index, &run_command()?)
     }
 
-    fn signal(&self, index: usize, signal: i32) {
-        if let Some(child) = &*self.controllers[index].child.lock().unwrap() {
-            unsafe { kill(child.id() as i32, signal) };
-        }
-    }
-
     /// Kills a controller without notice.
     pub fn kill(&self, index: usize) {
         self.world.record(&format!("{}: killed", self.controllers[index].label));
@@ -170,22 +158,6 @@
         }
     }
 
-    pub fn stop(&self, index: usize) {
-        self.world.record(&format!("{}: stands still", self.controllers[index].label));
-        self.signal(index, SIGSTOP);
-    }
-
-    pub fn go_on(&self, index: usize) {
-        self.world.record(&format!("{}: goes on", self.controllers[index].label));
-        self.signal(index, SIGCONT);
-    }
-
-    /// Reports whether a controller's process has ended by itself.
-    pub fn has_ended(&self, index: usize) -> bool {
-        let mut child = self.controllers[index].child.lock().unwrap();
-        child.as_mut().is_some_and(|child| child.try_wait().is_ok_and(|status| status.is_some()))
-    }
-
     pub fn index_of(&self, label: &str) -> Option<usize> {
         self.controllers.iter().position(|controller| controller.label == label)
     }
@@ -224,12 +196,6 @@
         false
     }
 
-    /// Asks one controller for a job's status word.
-    pub fn poll(&self, index: usize, id: &str) -> Option<String> {
-        let (status, body) = self.request(index, "GET", &format!("/api/jobs/{id}"), &Value::Null)?;
-        (status == 200).then(|| body.text_at("status").unwrap_or("").to_owned())
-    }
-
     /// Waits until a condition holds; an error if it does not in time.
     pub fn expect(&self, what: &str, timeout_s: f64, condition: impl Fn() -> bool) -> Result<(), String> {
         self.world.record(&format!("waiting: {what}"));
@@ -240,16 +206,11 @@
             Err(format!("not seen within {timeout_s} s: {what}"))
         }
     }
-
-    pub fn cloud(&self) -> SocketAddr {
-        self.cloud
-    }
 }
 
 impl Drop for Deployment {
     fn drop(&mut self) {
         for index in 0..CONTROLLERS {
-            self.go_on(index);
             self.kill(index);
         }
     }
@@ -363,8 +324,3 @@
     let (_, cpus, cards, memory_gb, ..) = BREEDS.into_iter().find(|(name, ..)| *name == breed).expect("a known breed");
     Machine { host: host.into(), breed: breed.into(), yard: yard.into(), cpus, cards, memory_gb, spot: false }
 }
-
-/// An empty map, for requests without content.
-pub fn nothing() -> Value {
-    map([("at", int(0))])
-}
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -3,10 +3,7 @@
 use std::{
     collections::{BTreeMap, VecDeque},
     net::SocketAddr,
-    sync::{
-        atomic::{AtomicU8, Ordering},
-        Arc, Condvar, Mutex,
-    },
+    sync::{Arc, Condvar, Mutex},
     thread,
     time::{Duration, Instant},
 };
@@ -76,17 +73,6 @@
     limits: Limits,
 }
 
-/// How the service treats the requests of one controller.
-pub const SERVED: u8 = 0;
-/// Requests get 503; open watches wait.
-pub const REFUSED: u8 = 1;
-
-/// The access of one controller to the service.
-pub struct Access {
-    pub address: SocketAddr,
-    pub mode: Arc<AtomicU8>,
-}
-
 /// The state service.
 #[derive(Clone)]
 pub struct Store {
@@ -239,17 +225,12 @@
     }
 
     /// Opens a port for controller `index`.
-    pub fn serve(&self, index: usize) -> Access {
-        let mode = Arc::new(AtomicU8::new(SERVED));
-        let (store, own_mode) = (self.clone(), Arc::clone(&mode));
-        let handler = Arc::new(move |request: Request| store.handle(index, &own_mode, &request));
-        Access { address: http::serve(http::listen(), handler), mode }
+    pub fn serve(&self, index: usize) -> SocketAddr {
+        let store = self.clone();
+        http::serve(http::listen(), Arc::new(move |request: Request| store.handle(index, &request)))
     }
 
-    fn handle(&self, index: usize, mode: &AtomicU8, request: &Request) -> Option<Response> {
-        if mode.load(Ordering::SeqCst) == REFUSED {
-            return Some(Response::new(503, &map([])));
-        }
+    fn handle(&self, index: usize, request: &Request) -> Option<Response> {
         if !self.data.0.lock().unwrap().requests.take(1.0) {
             return Some(Response::new(429, &map([])));
         }
@@ -264,7 +245,7 @@
                 }
                 Some(response)
             }
-            ("GET", "/changes") => self.changes(mode, request),
+            ("GET", "/changes") => self.changes(request),
             ("POST", "/multi") => {
                 let response = self.data.0.lock().unwrap().multi(&body);
                 self.data.1.notify_all();
@@ -318,7 +299,7 @@
         }
     }
 
-    fn changes(&self, mode: &AtomicU8, request: &Request) -> Option<Response> {
+    fn changes(&self, request: &Request) -> Option<Response> {
         let prefix = request.parameter("under").unwrap_or("").to_owned();
         let from: u64 = request.parameter("from")?.parse().ok()?;
         let wait_ms: u64 = request.parameter("waitMs").and_then(|wait| wait.parse().ok()).unwrap_or(0);
@@ -328,10 +309,9 @@
             if data.first_change > from {
                 return Some(Response::new(410, &map([])));
             }
-            let is_served = mode.load(Ordering::SeqCst) == SERVED;
             let events = data.changes_since(&prefix, from);
             let now = Instant::now();
-            if is_served && (!events.is_empty() || now >= deadline) {
+            if !events.is_empty() || now >= deadline {
                 return Some(Response::new(200, &map([("epoch", int(data.epoch)), ("events", Value::List(events))])));
             }
             let left =
@@ -339,9 +319,4 @@
             data = self.data.1.wait_timeout(data, left).unwrap().0;
         }
     }
-
-    /// Returns the value of a key.
-    pub fn value(&self, key: &str) -> Option<Value> {
-        self.data.0.lock().unwrap().keys.get(key).map(|entry| entry.value.clone())
-    }
 }
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -212,8 +212,7 @@
                 "fetching" => {
                     piece.status = "running";
                     piece.until = (piece.run_s > 0.0).then(|| now + Duration::from_secs_f64(piece.run_s));
-                    let Machine { host, yard, .. } = &self.0.machine;
-                    self.0.world.task_begins(host, yard, &piece.name, piece.attempt);
+                    self.0.world.task_begins(&self.0.machine.host, &piece.name, piece.attempt);
                 }
                 "running" => self.end_piece(piece, "done", false),
                 "flushing" => self.end_piece(piece, "halted", true),
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -93,7 +93,6 @@
 #[derive(Clone, Debug)]
 pub struct Stay {
     pub host: String,
-    pub yard: String,
     pub piece: String,
     pub attempt: u64,
     pub from: Duration,
@@ -155,11 +154,11 @@
     }
 
     /// Records that a task has its image.
-    pub fn task_begins(&self, host: &str, yard: &str, piece: &str, attempt: u64) {
+    pub fn task_begins(&self, host: &str, piece: &str, attempt: u64) {
         self.record(&format!("{host}: {piece} try {attempt} is on the machine"));
         let from = self.now();
-        let (host, yard, piece) = (host.to_owned(), yard.to_owned(), piece.to_owned());
-        self.0.stays.lock().unwrap().push(Stay { host, yard, piece, attempt, from, to: None });
+        let (host, piece) = (host.to_owned(), piece.to_owned());
+        self.0.stays.lock().unwrap().push(Stay { host, piece, attempt, from, to: None });
     }
 
     /// Records that a task is gone.
