--- a/review/standins/cases/late_report.rs
+++ b/review/standins/cases/late_report.rs
@@ -18,7 +18,7 @@
 
 const TEAM: &str = "imaging";
 /// The limit of the team, in GPUs.
-const LIMIT: f64 = 4.0;
+const LIMIT: f64 = 12.0;
 
 fn gpu_job(id: &str, team: &str, rank: &str, yard: &str, run_s: f64) -> Job {
     let mut job = Job::new(id, team, "batch", rank);
@@ -27,12 +27,10 @@
 }
 
 pub fn run(world: World, has_trouble: bool) -> Result<bool, String> {
-    let machines = vec![
-        machine("i-000001", "falco", "padova"),
-        machine("i-000002", "falco", "brescia"),
-        machine("i-000003", "merlo", "brescia"),
-    ];
-    let deployment = Deployment::start(world.clone(), &[(TEAM, 0.0, LIMIT), ("sportello", 4.0, 16.0)], machines)?;
+    let mut machines = vec![machine("i-000001", "falco", "padova")];
+    machines.extend(["i-000002", "i-000003", "i-000004"].map(|host| machine(host, "falco", "brescia")));
+    let teams = [(TEAM, 8.0, LIMIT), ("sportello", 8.0, 16.0)];
+    let deployment = Deployment::start(world.clone(), &teams, machines)?;
     let first = deployment.worker("i-000001").ok_or("no worker")?;
 
     // The team's job `j-000001` runs in padova; a more urgent job of another team gets its machine.
@@ -47,11 +45,15 @@
     }
     deployment.expect("j-000002 runs in its place", 15.0, || world.is_on("i-000001", "j-000002/0"))?;
 
-    // Another job of the team takes all that the team's limit allows.
-    if !deployment.submit(&gpu_job("j-000003", TEAM, "high", "brescia", 300.0)) {
-        return Err("j-000003 was not accepted".into());
+    // Other jobs of the team take all that the team's limit allows.
+    let others = ["j-000003", "j-000004", "j-000005"];
+    for id in others {
+        if !deployment.submit(&gpu_job(id, TEAM, "high", "brescia", 300.0)) {
+            return Err(format!("{id} was not accepted"));
+        }
     }
-    deployment.expect("j-000003 runs", 15.0, || world.is_on("i-000002", "j-000003/0"))?;
+    let runs = |id: &str| world.stays().iter().any(|stay| stay.job() == id && stay.to.is_none());
+    deployment.expect("the other jobs of the team run", 15.0, || others.into_iter().all(runs))?;
     deployment.expect("j-000002 is over", 15.0, || !world.is_on("i-000001", "j-000002/0"))?;
     thread::sleep(Duration::from_secs(4));
 
