Review: case 4, an old report takes a team over its limit

Cause: a new leader takes a delayed copy of a report for the machine's latest one and assigns the task that it lists to the machine, without the check of the team's limit.

--- /dev/null
+++ b/review/standins-2/cases/mod.rs
@@ -0,0 +1,11 @@
+//! The cases.
+
+mod old_report;
+
+/// Runs a case. Returns the broken rules, or why the case couldn't run.
+pub fn run(case: &str, dir: &str) -> Result<Vec<String>, String> {
+    match case {
+        "old_report" => old_report::run(dir),
+        _ => Err("no such case".into()),
+    }
+}
