Review: case 6 needs refused connections between controllers only

Cause: a leader never repeats that no task of a job runs, so a controller that misses that frame goes on saying running.

--- a/review/standins-2/nodes.rs
+++ b/review/standins-2/nodes.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::{self, File},
-    io::{Read, Write},
+    io::{ErrorKind, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     os::unix::process::CommandExt,
     process::{Child, Command, Stdio},
@@ -38,9 +38,9 @@
     }
 }
 
-/// A forwarder for the connections of one controller to another, which can hold them.
+/// A forwarder for the connections of one controller to another, which can refuse them.
 pub struct Link {
-    pub cut: Arc<AtomicBool>,
+    pub refused: Arc<AtomicBool>,
     addr: SocketAddr,
 }
 
@@ -48,37 +48,43 @@
     fn start(to: SocketAddr) -> Link {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let addr = listener.local_addr().unwrap();
-        let cut = Arc::new(AtomicBool::new(false));
-        let held = cut.clone();
+        let refused = Arc::new(AtomicBool::new(false));
+        let flag = refused.clone();
         thread::spawn(move || {
-            for inbound in listener.incoming().flatten() {
-                let held = held.clone();
-                thread::spawn(move || {
-                    let Ok(outbound) = TcpStream::connect_timeout(&to, Duration::from_secs(1)) else {
-                        let _ = inbound.shutdown(Shutdown::Both);
-                        return;
-                    };
-                    pump(inbound, outbound, &held);
-                });
+            let mut listener = Some(listener);
+            loop {
+                thread::sleep(Duration::from_millis(5));
+                if flag.load(Relaxed) {
+                    // Without a listener the system refuses the connections.
+                    listener = None;
+                    continue;
+                }
+                if listener.is_none() {
+                    listener = TcpListener::bind(addr).ok();
+                }
+                let Some(listener) = &listener else { continue };
+                let _ = listener.set_nonblocking(true);
+                while let Ok((inbound, _)) = listener.accept() {
+                    let flag = flag.clone();
+                    thread::spawn(move || forward(inbound, to, &flag));
+                }
             }
         });
-        Link { cut, addr }
+        Link { refused, addr }
     }
 }
 
-fn pump(mut inbound: TcpStream, mut outbound: TcpStream, held: &AtomicBool) {
-    let _ = outbound.set_nodelay(true);
+/// Forwards what one controller sends to another. Controllers send nothing back on these connections.
+fn forward(mut inbound: TcpStream, to: SocketAddr, refused: &AtomicBool) {
+    let _ = inbound.set_nonblocking(false);
+    let _ = inbound.set_read_timeout(Some(Duration::from_millis(20)));
     let mut buffer = [0; 16384];
-    loop {
+    let Ok(mut outbound) = TcpStream::connect_timeout(&to, Duration::from_secs(1)) else { return };
+    let _ = outbound.set_nodelay(true);
+    while !refused.load(Relaxed) {
         match inbound.read(&mut buffer) {
-            Ok(n) if n > 0 => {
-                while held.load(Relaxed) {
-                    thread::sleep(Duration::from_millis(20));
-                }
-                if outbound.write_all(&buffer[..n]).is_err() {
-                    break;
-                }
-            }
+            Ok(n) if n > 0 && outbound.write_all(&buffer[..n]).is_ok() => {}
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
             _ => break,
         }
     }
