Review: in case 5 the cloud has machines to give

Cause: without them, the case left open whether another machine would have been rented. Change: the cloud of case 5 can rent out four more machines.

--- a/review/standins-2/cases/sick_machines.rs
+++ b/review/standins-2/cases/sick_machines.rs
@@ -30,6 +30,8 @@
         |name, cpus, memory, boot_s| Breed { name, cpus, cards: 0.0, memory, boot_s, yards: vec!["modena", "cremona"] };
     let breeds = vec![breed("cincia", 16.0, 32.0, 30.0), breed("cicogna", 64.0, 512.0, 25.0)];
     let mut cluster = Cluster::new(dir, &settings, breeds).ok_or("no deployment")?;
+    // The cloud has more machines to give.
+    cluster.cloud.capacity.store(4, Relaxed);
     let large = [cluster.cloud.add("cicogna", "modena", false), cluster.cloud.add("cicogna", "cremona", false)];
     for n in 0..16 {
         cluster.cloud.add("cincia", ["modena", "cremona"][n % 2], false);
