Review: case 5, a lost task waits beside a machine with room for a replica

Cause: room for one more replica of every prod service class is reserved in each scheduling cycle before any job that is not a service.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,4 +6,4 @@
     echo "build first: cargo build --release; review/build-2.sh"
     exit 2
 fi
-exec target/review-2/standins still_running review/5
+exec target/review-2/standins headroom review/5
--- a/review/standins-2/cloud.rs
+++ b/review/standins-2/cloud.rs
@@ -100,6 +100,10 @@
         self.listed.load(Relaxed)
     }
 
+    pub fn is_listed(&self, host: &str) -> bool {
+        self.state.lock().unwrap().hosts.contains_key(host)
+    }
+
     /// The machine is up: its worker starts.
     fn boot(&self, name: &str) -> Option<Arc<Worker>> {
         let mut state = self.state.lock().unwrap();
@@ -202,11 +206,13 @@
                 let mut state = self.state.lock().unwrap();
                 for name in body.list("hosts") {
                     let V::T(name) = name else { continue };
-                    if let Some(host) = state.hosts.remove(name) {
+                    let Some(host) = state.hosts.remove(name) else { continue };
+                    // A machine that stopped by itself can't be rented out again.
+                    if !host.worker.as_ref().is_some_and(|worker| worker.is_gone()) {
                         self.capacity.fetch_add(1, Relaxed);
-                        if let Some(worker) = host.worker {
-                            worker.remove("returned");
-                        }
+                    }
+                    if let Some(worker) = host.worker {
+                        worker.remove("returned");
                     }
                 }
                 answer(200, map! {})
